Count a node without a catalogue as not ready

Cause: the start gate opens once the log has been read, also when the log holds no catalogue; requests then got 404 for models that nobody had defined yet. A request for a model that no runner holds waited for its deadline even if no runner had reported, so that nothing could load it.

Now /readyz is 503 and requests get 503 not_run until a catalogue is known, and the queue refuses at once when no runner of the pool reports.

RouterTest's new case failed before the change.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/request/Router.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/request/Router.java
@@ -32,6 +32,12 @@
     /** Bounds the cost of a decision whatever the number of runners. */
     static final int MOST_SCORED = 32;
     /** Belief that a home of a shared prefix has it cached, since all nodes send its requests there. */
+    /** Runners are asked for their load several times a second. */
+    private static final long LONGEST_SILENCE_MILLIS = 5_000;
+
+    /** A runner that starts is known about a second later. */
+    private static final long SILENCE_RETRY_AFTER_MILLIS = 1_000;
+
     private static final double HOME_TRUST = 0.5;
 
     private static final String ANSWER_ROLE = "answer";
@@ -105,7 +111,11 @@
         return new Route(request, servicePolicy.choose(request, candidates), known.size(), candidates.size());
     }
 
-    /** Returns what admission needs to know of the runners that may serve a request, with what they have cached of it. */
+    /**
+     * Returns what admission needs to know of the runners that may serve a request, with what they have cached of it.
+     *
+     * @throws AgatehatchException with {@link ErrorCode#NO_BACKEND_SERVER} if no runner holds the model or can load it
+     */
     public PoolLoad load(RouteRequest route) {
         RoutingView view = inputs.view().get();
         RoutingRequest request = route.request();
@@ -119,6 +129,17 @@
             tokensPerSecond += candidate.prefillTokensPerSecond();
             room |= hasRoom(candidate);
         }
+        if (replicas.isEmpty() && !someRunnerReports(view, entry.pool())) {
+            throw new AgatehatchException(
+                            ErrorCode.NO_BACKEND_SERVER,
+                            "admit",
+                            "self",
+                            Outcome.NOT_RUN,
+                            "no runner of pool '" + entry.pool() + "' holds '" + request.entry()
+                                    + "', and none has reported its load lately, so none can load it; check the runners'"
+                                    + " addresses in the catalogue")
+                    .withRetryAfterMillis(SILENCE_RETRY_AFTER_MILLIS);
+        }
         // Without any replica now, the queue's deadline decides, since one may be on its way.
         double wait = best == Double.POSITIVE_INFINITY ? 0 : best;
         return new PoolLoad(
@@ -128,6 +149,18 @@
                         : tokensPerSecond / Math.max(1, inputs.liveNodes().getAsInt()));
     }
 
+    /** A runner that can be told to load a model answers when it is asked for its load. */
+    private boolean someRunnerReports(RoutingView view, String pool) {
+        for (String name : serversOf(view, pool)) {
+            boolean reports =
+                    inputs.load().apply(inputs.tracker().apply(name)).reportAgeMillis() <= LONGEST_SILENCE_MILLIS;
+            if (reports && !view.unavailable().contains(name)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Returns whether some runner of the entry has a short enough queue to get a request now. */
     public boolean hasRoom(String entry) {
         for (Candidate candidate : plainCandidates(inputs.view().get(), entry)) {
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/request/RouterFixture.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/request/RouterFixture.java
@@ -40,6 +40,7 @@
     final AdapterLoadBudget budget = new AdapterLoadBudget("node", clock);
     final Set<String> unavailable = new HashSet<>();
     final Map<String, String> roles = new HashMap<>();
+    boolean modelIsLoaded = true;
     private final Random random = new Random(17);
     private final List<String> runners;
 
@@ -117,7 +118,8 @@
                 servers,
                 Map.of("model", model, "adapter", adapter),
                 Map.of("desk", desk));
-        return new RoutingView(catalogue, Map.of(), Map.of("model", runners), roles, unavailable);
+        return new RoutingView(
+                catalogue, Map.of(), modelIsLoaded ? Map.of("model", runners) : Map.of(), roles, unavailable);
     }
 
     private static ModelEntry entry(String name, Optional<String> base) {
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/request/RouterTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/request/RouterTest.java
@@ -19,6 +19,7 @@
 import org.agatehatch.api.engine.LoadReport;
 import org.agatehatch.api.errors.AgatehatchException;
 import org.agatehatch.api.errors.ErrorCode;
+import org.agatehatch.api.errors.Outcome;
 import org.agatehatch.api.routing.Candidate;
 import org.agatehatch.api.routing.PromptBlocks;
 import org.agatehatch.api.routing.RoutingRequest;
@@ -76,6 +77,28 @@
         assertEquals(error.code(), ErrorCode.MODEL_NOT_FOUND);
     }
 
+    @Test
+    public void a_request_for_a_model_that_no_runner_can_load_is_refused_instead_of_queued() {
+        RouterFixture fixture = new RouterFixture(2);
+        fixture.modelIsLoaded = false;
+        Router router = fixture.router();
+
+        AgatehatchException error = expectThrows(AgatehatchException.class, () -> router.load(request(100)));
+
+        assertEquals(error.code(), ErrorCode.NO_BACKEND_SERVER);
+        assertEquals(error.outcome(), Outcome.NOT_RUN);
+        assertTrue(error.retryAfterMillis() > 0, "says when to come back");
+    }
+
+    @Test
+    public void a_request_waits_for_a_model_that_a_reporting_runner_may_load() {
+        RouterFixture fixture = new RouterFixture(2);
+        fixture.modelIsLoaded = false;
+        fixture.reportAll(1, 0, Set.of());
+
+        assertEquals(fixture.router().load(request(100)).bestWaitMillis(), 0, 0.1);
+    }
+
     @Test
     public void at_most_32_of_many_replicas_are_scored_and_all_get_requests() {
         RouterFixture fixture = new RouterFixture(200);
--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/wiring/Node.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/wiring/Node.java
@@ -171,7 +171,11 @@
 
     @Override
     public boolean serving() {
-        return state != NodeState.STARTING;
+        return state != NodeState.STARTING && hasCatalogue();
+    }
+
+    private boolean hasCatalogue() {
+        return replicated.view().catalogue().version() > 0;
     }
 
     @Override
@@ -181,7 +185,10 @@
 
     @Override
     public String reason() {
-        return state == NodeState.STARTING ? replicated.gate().reason() : state.name();
+        if (state == NodeState.STARTING) {
+            return replicated.gate().reason();
+        }
+        return hasCatalogue() ? state.name() : "no catalogue yet; apply one with agatehatch catalogue apply";
     }
 
     private CompletionStage<NodeInfo> bindFront(int peerPort) {
