Read the store at a few nodes and pass changes on

Cause: each node polled the servers' topic and held a read of the configuration open. With 60 to 83 nodes and 46 to 102 servers that renew their entries every 1.2 s, reads and bytes grow with nodes times servers; the exchange of loads grew with the square of the nodes; the directory named more than 64 nodes and gave machines of 0.36 cores as many callers as those of 1.5.

RelayedTopic lets the strongest nodes of each failure domain read the store and answer the others with what has changed; a reader whose relay is silent or behind reads the store itself. Reports come less often in large groups, and the load board keeps totals. The right to give orders goes to the strongest node first.

--- a/agatehatch-core/src/main/java/org/agatehatch/api/fleet/KeyedTopic.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/api/fleet/KeyedTopic.java
@@ -27,9 +27,11 @@
     /**
      * Records from an offset on.
      *
+     * @param nextOffset first offset that the entries do not cover
+     * @param endOffset offset at which the topic ended
      * @param truncated whether the records at the offset are gone, so that a snapshot is needed
      */
-    record Changes(List<Entry> entries, long endOffset, boolean truncated) {
+    record Changes(List<Entry> entries, long nextOffset, long endOffset, boolean truncated) {
         public Changes {
             entries = List.copyOf(entries);
         }
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/BackendRegistry.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/BackendRegistry.java
@@ -69,7 +69,12 @@
             return;
         }
         entries.put(key, entry);
-        logChange(before, entry);
+        if (entry.equals(before)) {
+            return;
+        }
+        if (caughtUp) {
+            logChange(before, entry);
+        }
         publish();
     }
 
@@ -88,7 +93,10 @@
 
     @Override
     public void onCaughtUp() {
-        caughtUp = true;
+        if (!caughtUp) {
+            caughtUp = true;
+            log.info("event=servers_known servers={}", entries.size());
+        }
     }
 
     /** Returns whether the registry has been read once. */
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/KeyedFollower.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/KeyedFollower.java
@@ -123,10 +123,7 @@
             return;
         }
         changes.entries().forEach(this::apply);
-        long readUpTo = changes.entries().isEmpty()
-                ? nextOffset
-                : changes.entries().get(changes.entries().size() - 1).offset() + 1;
-        nextOffset = Math.max(nextOffset, readUpTo);
+        nextOffset = Math.max(nextOffset, changes.nextOffset());
         if (nextOffset < changes.endOffset()) {
             read();
             return;
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/LoadBoard.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/LoadBoard.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.IntSupplier;
 import org.agatehatch.api.time.MonotonicClock;
 
 /**
@@ -9,9 +10,6 @@
  * others. Runs on the control thread.
  */
 public final class LoadBoard {
-    /** Age beyond which a node's report says nothing about the present. */
-    static final long MAX_AGE_MILLIS = 1_500;
-
     /**
      * Requests in flight at a server.
      *
@@ -24,28 +22,57 @@
         Load plus(Load other) {
             return new Load(requests + other.requests, unreadTokens + other.unreadTokens);
         }
+
+        Load minus(Load other) {
+            return new Load(requests - other.requests, unreadTokens - other.unreadTokens);
+        }
     }
 
     private record Report(Map<String, Load> loads, long atMillis) {}
 
     private final MonotonicClock clock;
+    private final IntSupplier nodes;
     private final Map<String, Report> byNode = new HashMap<>();
+    private final Map<String, Load> totals = new HashMap<>();
 
-    public LoadBoard(MonotonicClock clock) {
+    /**
+     * Creates an empty board.
+     *
+     * @param nodes number of nodes in the group
+     */
+    public LoadBoard(MonotonicClock clock, IntSupplier nodes) {
         this.clock = clock;
+        this.nodes = nodes;
     }
 
     /** Takes a node's report and returns the sum of the other nodes' reports. */
     public Map<String, Load> exchange(String node, Map<String, Load> loads) {
-        long nowMillis = clock.millis();
-        byNode.values().removeIf(report -> nowMillis - report.atMillis > MAX_AGE_MILLIS);
-        byNode.put(node, new Report(loads, nowMillis));
-        Map<String, Load> others = new HashMap<>();
-        byNode.forEach((name, report) -> {
-            if (!name.equals(node)) {
-                report.loads.forEach((server, load) -> others.merge(server, load, Load::plus));
+        removeSilent();
+        remove(byNode.get(node));
+        Map<String, Load> others = Map.copyOf(totals);
+        byNode.put(node, new Report(loads, clock.millis()));
+        loads.forEach((server, load) -> totals.merge(server, load, Load::plus));
+        return others;
+    }
+
+    private void removeSilent() {
+        long oldestMillis = clock.millis() - ReportPace.silentMillis(nodes.getAsInt());
+        byNode.values().removeIf(report -> {
+            boolean silent = report.atMillis < oldestMillis;
+            if (silent) {
+                remove(report);
             }
+            return silent;
         });
-        return others;
+    }
+
+    private void remove(Report report) {
+        if (report == null) {
+            return;
+        }
+        report.loads.forEach((server, load) -> totals.computeIfPresent(server, (name, total) -> {
+            Load left = total.minus(load);
+            return left.equals(Load.NONE) ? null : left;
+        }));
     }
 }
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/NodeIdentity.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/NodeIdentity.java
@@ -7,14 +7,15 @@
  *
  * @param host address at which it is reached; ports are the same on all nodes
  * @param incarnation tells this start of the process from earlier ones
+ * @param capacityPercent its share of a processor
  */
-public record NodeIdentity(String name, String failureDomain, String host, String incarnation) {
+public record NodeIdentity(String name, String failureDomain, String host, String incarnation, int capacityPercent) {
     private static final String SEPARATOR = "|";
-    private static final int FIELDS = 4;
+    private static final int FIELDS = 5;
 
     /** Returns the member name that carries the identity. */
     public String memberName() {
-        return String.join(SEPARATOR, name, failureDomain, host, incarnation);
+        return String.join(SEPARATOR, name, failureDomain, host, incarnation, Integer.toString(capacityPercent));
     }
 
     /** Reads a member name; returns nothing if it is not a node's. */
@@ -23,6 +24,11 @@
         if (fields.length != FIELDS) {
             return Optional.empty();
         }
-        return Optional.of(new NodeIdentity(fields[0], fields[1], fields[2], fields[3]));
+        try {
+            return Optional.of(
+                    new NodeIdentity(fields[0], fields[1], fields[2], fields[3], Integer.parseInt(fields[4])));
+        } catch (NumberFormatException e) {
+            return Optional.empty();
+        }
     }
 }
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/PlacementClaim.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/PlacementClaim.java
@@ -1,6 +1,7 @@
 package org.agatehatch.internal.process;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
@@ -71,6 +72,7 @@
     private long checkedNanos;
     private long actFromNanos;
     private boolean reading;
+    private boolean changedSinceRead;
     private boolean everChecked;
     private boolean failing;
 
@@ -106,8 +108,11 @@
     /** Takes over a changed view of the nodes. */
     public void onNodes(NodeView view) {
         nodes = view;
-        if (view.generation() > 0) {
+        if (view.generation() > 0 && (claim.isEmpty() || holderGone())) {
             read();
+        } else {
+            // Many nodes that come and go at once cost one read, at the next look.
+            changedSinceRead = true;
         }
     }
 
@@ -131,7 +136,7 @@
 
     private void check() {
         // Other nodes read only when the group changes; a holder that left without a change is found here.
-        if (isOwn() || holderGone()) {
+        if (isOwn() || holderGone() || changedSinceRead) {
             read();
         }
         control.schedule(CHECK_MILLIS, this::check);
@@ -156,6 +161,7 @@
             return;
         }
         reading = true;
+        changedSinceRead = false;
         long askedNanos = clock.nanos();
         topic.snapshot()
                 .whenComplete((snapshot, failure) -> control.execute(() -> {
@@ -201,11 +207,14 @@
         publisher.accept(found.flatMap(present -> NodeIdentity.parse(present.member())));
     }
 
-    /** The nodes try one after the other, so that they don't all write at once. */
+    /** The nodes try one after the other, those with the most processor time first, so that they don't all write at once. */
     private void takeOverInTurn(long endOffset, long generation) {
-        List<String> inLine =
-                nodes.nodes().stream().map(NodeIdentity::memberName).sorted().toList();
-        int rank = Math.max(0, inLine.indexOf(self.memberName()));
+        List<NodeIdentity> inLine = nodes.nodes().stream()
+                .sorted(Comparator.comparingInt(NodeIdentity::capacityPercent)
+                        .reversed()
+                        .thenComparing(NodeIdentity::memberName))
+                .toList();
+        int rank = Math.max(0, inLine.indexOf(self));
         Optional<Claim> seen = claim;
         control.schedule(rank * RANK_PAUSE_MILLIS, () -> {
             boolean unchanged = claim.equals(seen) && nodes.generation() == generation;
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/ResidencyDuty.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/ResidencyDuty.java
@@ -37,6 +37,9 @@
 
     private static final long TICK_MILLIS = 250;
 
+    /** Shortest time between two plans that requests for absent models ask for; a plan looks at all models and runners. */
+    private static final long WANT_PLAN_MILLIS = 50;
+
     /** Time after which a report is read again. Reports lag some hundred milliseconds behind. */
     private static final long REPORT_RETRY_MILLIS = 250;
 
@@ -46,9 +49,6 @@
     /** Time for which an adapter is wanted; requests wait no longer. */
     private static final long WANT_MILLIS = 400;
 
-    /** Age of a node's last report up to which it counts as reporting; reports come four times a second. */
-    private static final long REPORTED_MILLIS = 800;
-
     /** Time since its last request after which an adapter is probably not in use. */
     private static final long ADAPTER_IN_USE_MILLIS = 3_000;
 
@@ -91,6 +91,7 @@
     private final Map<String, Announced> announced = new LinkedHashMap<>();
     private boolean acting;
     private long refusedToken = -1;
+    private long plannedAtMillis;
 
     private record Announced(ResidencyMessages.Change change, long atMillis) {}
 
@@ -164,7 +165,9 @@
         demand.computeIfAbsent(key(want.service(), want.model()), name -> new DemandRate(clock))
                 .add(WANT_WORK_MILLIS);
         if (want.adapter().isEmpty()) {
-            tickNow();
+            if (clock.millis() - plannedAtMillis >= WANT_PLAN_MILLIS) {
+                tickNow();
+            }
             return CompletableFuture.completedFuture(new ResidencyMessages.Held("", readyInMillis(want)));
         }
         return wantAdapter(want);
@@ -241,7 +244,8 @@
     /** Nodes that reach the store report to the successor as soon as there is one. */
     private boolean mostNodesReport() {
         long nowMillis = clock.millis();
-        reportedAtMillis.values().removeIf(atMillis -> nowMillis - atMillis > REPORTED_MILLIS);
+        long missedMillis = ReportPace.missedMillis(nodes.getAsInt());
+        reportedAtMillis.values().removeIf(atMillis -> nowMillis - atMillis > missedMillis);
         return 2 * reportedAtMillis.size() > nodes.getAsInt();
     }
 
@@ -261,6 +265,7 @@
             ceiling.drain();
         }
         acting = mayAct;
+        plannedAtMillis = clock.millis();
         if (!acting) {
             return;
         }
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/request/ServerChooser.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/request/ServerChooser.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.agatehatch.api.fleet.GenerationRequest;
@@ -20,20 +21,19 @@
 import org.agatehatch.internal.process.FleetView;
 import org.agatehatch.internal.process.LoadBoard;
 import org.agatehatch.internal.process.RendezvousHash;
+import org.agatehatch.internal.process.ReportPace;
 
 /**
  * Chooses the backend server for an attempt by the predicted time to the first event: what is queued there, what of the
  * prompt it does not keep, how late its last answers were, and its distance. Runs on the traffic thread.
  */
 public final class ServerChooser {
-    /** Age up to which the loads of other nodes are used; they come four times a second. */
-    private static final long OTHERS_TRUST_MILLIS = 1_000;
-
     private final ChooserSettings settings;
     private final String ownDomain;
     private final Supplier<FleetView> fleet;
     private final MonotonicClock clock;
     private final RandomGenerator random;
+    private final IntSupplier nodes;
     private final ResidencySightings sightings;
     private final PromptPartCache cache = new PromptPartCache();
     private final Map<String, ServerLoad> loads = new HashMap<>();
@@ -43,13 +43,20 @@
     private Map<String, LoadBoard.Load> others = Map.of();
     private long othersAtMillis;
 
+    /**
+     * Creates a chooser that knows no server.
+     *
+     * @param nodes number of nodes in the group
+     */
     public ServerChooser(
             ChooserSettings settings,
             String ownDomain,
             Supplier<FleetView> fleet,
             ResidencySightings sightings,
             MonotonicClock clock,
-            RandomGenerator random) {
+            RandomGenerator random,
+            IntSupplier nodes) {
+        this.nodes = nodes;
         this.settings = settings;
         this.ownDomain = ownDomain;
         this.fleet = fleet;
@@ -242,7 +249,7 @@
 
     /** What the other nodes have there; their last word counts for as long as no newer one is overdue. */
     private LoadBoard.Load othersAt(String serverId) {
-        boolean recent = clock.millis() - othersAtMillis < OTHERS_TRUST_MILLIS;
+        boolean recent = clock.millis() - othersAtMillis < ReportPace.silentMillis(nodes.getAsInt());
         return recent ? others.getOrDefault(serverId, LoadBoard.Load.NONE) : LoadBoard.Load.NONE;
     }
 
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/FakeKeyedTopic.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/FakeKeyedTopic.java
@@ -12,16 +12,27 @@
 
 /** A keyed topic in memory, whose calls can fail, and whose records can be forgotten. */
 final class FakeKeyedTopic implements KeyedTopic {
-    private final List<Entry> records = new ArrayList<>();
+    private final List<Entry> records;
     private final VirtualTime time;
     private final long latencyMillis;
-    private long firstKept;
+    private final long[] firstKept;
     private boolean down;
     private int reads;
 
     FakeKeyedTopic(VirtualTime time, long latencyMillis) {
+        this(time, latencyMillis, new ArrayList<>(), new long[1]);
+    }
+
+    private FakeKeyedTopic(VirtualTime time, long latencyMillis, List<Entry> records, long[] firstKept) {
         this.time = time;
         this.latencyMillis = latencyMillis;
+        this.records = records;
+        this.firstKept = firstKept;
+    }
+
+    /** Returns the same topic as another node reaches it, with failures of its own. */
+    FakeKeyedTopic otherWay() {
+        return new FakeKeyedTopic(time, latencyMillis, records, firstKept);
     }
 
     void put(String key, String value) {
@@ -38,7 +49,7 @@
 
     /** Forgets all records but the newest of each key. */
     void compact() {
-        firstKept = records.size();
+        firstKept[0] = records.size();
     }
 
     int reads() {
@@ -72,11 +83,12 @@
             time.at(10, () -> awaitChange(fromOffset, leftMillis - 10, result));
             return;
         }
-        answer(() -> fromOffset < firstKept
-                        ? new Changes(List.of(), records.size(), true)
+        answer(() -> fromOffset < firstKept[0]
+                        ? new Changes(List.of(), fromOffset, records.size(), true)
                         : new Changes(
                                 records.subList((int) Math.min(fromOffset, records.size()), records.size()),
                                 records.size(),
+                                records.size(),
                                 false))
                 .whenComplete((changes, failure) -> {
                     if (failure == null) {
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/NodeMembershipTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/NodeMembershipTest.java
@@ -95,7 +95,7 @@
 
     private NodeMembership join(String name, String incarnation) {
         NodeMembership membership = new NodeMembership(
-                new NodeIdentity(name, "d1", "10.0.0.1", incarnation),
+                new NodeIdentity(name, "d1", "10.0.0.1", incarnation, 75),
                 group,
                 new MembershipSettings(900, TIME_TO_LIVE_MILLIS, 400),
                 time.node(1),
@@ -147,7 +147,7 @@
 
     @Test
     public void the_membership_of_an_earlier_process_is_ended() {
-        group.renew(new NodeIdentity("a", "d1", "10.0.0.1", "0").memberName(), 0);
+        group.renew(new NodeIdentity("a", "d1", "10.0.0.1", "0", 75).memberName(), 0);
         join("a", "1");
         time.advance(1_500);
         assertEquals(group.untilMillis.size(), 1);
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/NodeReportsTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/NodeReportsTest.java
@@ -38,13 +38,13 @@
     @Test
     public void each_node_gets_the_sum_of_the_others() {
         VirtualTime time = new VirtualTime();
-        LoadBoard board = new LoadBoard(time);
+        LoadBoard board = new LoadBoard(time, () -> 3);
         board.exchange("n1", Map.of("r1", new LoadBoard.Load(2, 100)));
         board.exchange("n2", Map.of("r1", new LoadBoard.Load(1, 50), "r2", new LoadBoard.Load(4, 0)));
         assertEquals(
                 board.exchange("n3", Map.of("r1", new LoadBoard.Load(9, 900))),
                 Map.of("r1", new LoadBoard.Load(3, 150), "r2", new LoadBoard.Load(4, 0)));
-        time.advance(LoadBoard.MAX_AGE_MILLIS + 1);
+        time.advance(ReportPace.silentMillis(3) + 1);
         assertEquals(board.exchange("n1", Map.of()), Map.of(), "reports of nodes that have fallen silent");
     }
 
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/PlacementClaimTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/PlacementClaimTest.java
@@ -34,7 +34,7 @@
 
         private Node(int index) {
             this.index = index;
-            this.identity = new NodeIdentity("n" + index, "d", "10.0.0." + index, "i");
+            this.identity = new NodeIdentity("n" + index, "d", "10.0.0." + index, "i", 75);
             this.claim = new PlacementClaim(
                     identity, topic, () -> member, runnersCheckTokens, thread, thread, found -> holder = found);
         }
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/request/ServerChooserTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/request/ServerChooserTest.java
@@ -44,7 +44,13 @@
 
     private ServerChooser chooser(String domain, int seed) {
         return new ServerChooser(
-                ChooserSettings.DEFAULT, domain, () -> fleet, sightings, () -> nowMillis * 1_000_000, new Random(seed));
+                ChooserSettings.DEFAULT,
+                domain,
+                () -> fleet,
+                sightings,
+                () -> nowMillis * 1_000_000,
+                new Random(seed),
+                () -> 3);
     }
 
     private static ServerEntry runner(String id, String domain, long born) {
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
@@ -4,8 +4,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.Collections;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -14,8 +13,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiPredicate;
 import java.util.function.Function;
-import java.util.random.RandomGenerator;
+import org.agatehatch.api.fleet.KeyedTopic;
 import org.agatehatch.api.fleet.PeerAddress;
 import org.agatehatch.api.peer.PeerMessage;
 import org.agatehatch.api.time.MonotonicClock;
@@ -32,6 +32,7 @@
 import org.agatehatch.internal.process.CrashLedger;
 import org.agatehatch.internal.process.DefaultControlThread;
 import org.agatehatch.internal.process.DemandMeter;
+import org.agatehatch.internal.process.EntryNodes;
 import org.agatehatch.internal.process.FleetView;
 import org.agatehatch.internal.process.FollowerSettings;
 import org.agatehatch.internal.process.KeyedFollower;
@@ -41,8 +42,11 @@
 import org.agatehatch.internal.process.NodeMembership;
 import org.agatehatch.internal.process.NodeView;
 import org.agatehatch.internal.process.PlacementClaim;
+import org.agatehatch.internal.process.RelayPlan;
+import org.agatehatch.internal.process.RelayedTopic;
 import org.agatehatch.internal.process.ResidencyDuty;
 import org.agatehatch.internal.process.StateMessages;
+import org.agatehatch.internal.process.TopicMessages;
 import org.agatehatch.internal.request.ChooserSettings;
 import org.agatehatch.internal.request.ResidencySightings;
 import org.agatehatch.internal.request.RetryAllowance;
@@ -63,19 +67,25 @@
     /** Stands for the record of the configuration when another node sends it. */
     private static final String CONFIG_KEY = "config";
 
+    /** Nodes are a few milliseconds away; a relay that takes longer is frozen or gone. */
+    private static final long RELAY_ANSWER_MILLIS = 300;
+
     private static final long POOL_SWEEP_MILLIS = 500;
     private static final long RENEW_MILLIS = 700;
     private static final long RENEWAL_MARGIN_MILLIS = 400;
 
     private final EdgeSettings settings;
     private final MonotonicClock clock = MonotonicClock.system();
-    private final RandomGenerator random = new Random();
+    private final Random random = new Random();
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final DefaultControlThread control = new DefaultControlThread("control");
     private final GatewayMetrics metrics = new GatewayMetrics();
     private final ActiveConfig config = new ActiveConfig();
     private final EdgePorts ports;
+    private final RelayedTopic configTopic;
+    private final RelayedTopic serverTopic;
+    private final NodeLinks links;
     private final KeyedFollower configFollower;
     private final KeyedFollower serverFollower;
     private final BackendRegistry registry;
@@ -103,19 +113,16 @@
         this.settings = settings;
         BackendPool storePool = new BackendPool(loop, clock, STORE_CONNECT_MILLIS, metrics::connectionsOpened);
         serverPool = new BackendPool(loop, clock, SERVER_CONNECT_MILLIS, metrics::connectionsOpened);
+        links = new NodeLinks(group, this::receive);
         ports = portsFactory.apply(new HttpCaller(loop, storePool));
+        configTopic = relayed("config", ports.configTopic(), Arrays::equals);
+        serverTopic = relayed("servers", ports.serverTopic(), this::sameServer);
         configFollower = new KeyedFollower(
-                "config", ports.configTopic(), FollowerSettings.WAITING, control, clock, random, this::onConfig);
+                "config", configTopic, FollowerSettings.WAITING, control, clock, random, this::onConfig);
         registry = new BackendRegistry(ports.serverDecoder(), control, this::sinceStoreRegainedMillis, this::onFleet);
         handover = new StateHandover(otherFirstNodes(settings), control, this::complete, this::onState);
         serverFollower = new KeyedFollower(
-                "servers",
-                ports.serverTopic(),
-                FollowerSettings.POLLING,
-                control,
-                clock,
-                random,
-                handover.keeping(registry));
+                "servers", serverTopic, FollowerSettings.POLLING, control, clock, random, handover.keeping(registry));
         membership = new NodeMembership(
                 settings.self(),
                 ports.group(),
@@ -133,7 +140,13 @@
                 clock,
                 published -> placementHolder = published);
         chooser = new ServerChooser(
-                ChooserSettings.DEFAULT, settings.self().failureDomain(), () -> fleet, sightings, clock, random);
+                ChooserSettings.DEFAULT,
+                settings.self().failureDomain(),
+                () -> fleet,
+                sightings,
+                clock,
+                random,
+                this::nodeCount);
         duty = newDuty();
         residency = new ResidencyClient(
                 loop,
@@ -146,12 +159,35 @@
                 meter,
                 sightings,
                 chooser,
-                new LoadBoard(clock),
+                new LoadBoard(clock, this::nodeCount),
+                this::nodeCount,
                 crashes,
                 clock);
         stop = new StopSequence(settings.stopMillis(), clock, membership, control);
     }
 
+    private RelayedTopic relayed(String name, KeyedTopic topic, BiPredicate<byte[], byte[]> sameMeaning) {
+        return new RelayedTopic(name, topic, this::relay, sameMeaning, control, clock);
+    }
+
+    private Optional<RelayedTopic.Relay> relay() {
+        return RelayPlan.relayOf(settings.self(), nodes)
+                .map(node -> new PeerAddress(node.host(), settings.peerPort()).toString())
+                .map(address -> question -> links.ask(address, TopicMessages.encode(question), RELAY_ANSWER_MILLIS)
+                        .thenApply(TopicMessages::decodeAnswer));
+    }
+
+    /** A server renews its record many times a minute without a change. */
+    private boolean sameServer(byte[] before, byte[] after) {
+        return ports.serverDecoder()
+                .apply("", before)
+                .equals(ports.serverDecoder().apply("", after));
+    }
+
+    private int nodeCount() {
+        return nodes.nodes().size();
+    }
+
     private ResidencyDuty newDuty() {
         return new ResidencyDuty(
                 settings.self().name(),
@@ -159,7 +195,7 @@
                 config::config,
                 () -> fleet,
                 claim::right,
-                () -> nodes.nodes().size(),
+                this::nodeCount,
                 control,
                 clock,
                 settings.loadWindowSeconds(),
@@ -181,7 +217,6 @@
             claim.start();
             duty.start();
         });
-        NodeLinks links = new NodeLinks(group, this::receive);
         links.bind(new PeerAddress(settings.self().host(), settings.peerPort()));
         loop.execute(() -> residency.start(links));
         control.execute(() -> handover.start(links));
@@ -209,16 +244,18 @@
         stop.install(server);
     }
 
-    /** Returns the addresses for a caller in a failure domain: all nodes, in no order. */
-    public List<PeerAddress> callerAddresses(String failureDomain, int port) {
-        List<PeerAddress> addresses = new ArrayList<>();
-        for (NodeIdentity node : nodes.nodes()) {
-            if (!node.equals(settings.self()) || !stop.leaving()) {
-                addresses.add(new PeerAddress(node.host(), port));
-            }
-        }
-        Collections.shuffle(addresses);
-        return addresses;
+    /**
+     * Returns the nodes that a caller should connect to.
+     *
+     * @param most number of nodes that an answer may name
+     */
+    public List<PeerAddress> callerAddresses(int most, int port) {
+        List<NodeIdentity> present = nodes.nodes().stream()
+                .filter(node -> !node.equals(settings.self()) || !stop.leaving())
+                .toList();
+        return EntryNodes.pick(present, most, random).stream()
+                .map(node -> new PeerAddress(node.host(), port))
+                .toList();
     }
 
     private SmallHttpServer.Reply readiness(boolean asked) {
@@ -229,11 +266,7 @@
 
     private ExchangeParts exchangeParts() {
         RetryAllowance retries = new RetryAllowance(
-                clock,
-                settings.retryRatio(),
-                settings.retrySlack(),
-                settings.retryWindowMillis(),
-                () -> nodes.nodes().size());
+                clock, settings.retryRatio(), settings.retrySlack(), settings.retryWindowMillis(), this::nodeCount);
         return new ExchangeParts(
                 loop,
                 clock,
@@ -278,12 +311,23 @@
     }
 
     private CompletionStage<PeerMessage> receive(PeerMessage message) {
-        if (!message.type().equals(StateMessages.ASK)) {
-            return residency.receive(message);
-        }
-        CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
-        control.execute(() -> answer.complete(handover.answer()));
-        return answer;
+        return switch (message.type()) {
+            case StateMessages.ASK -> CompletableFuture.supplyAsync(handover::answer, control::execute);
+            case TopicMessages.ASK ->
+                CompletableFuture.supplyAsync(
+                        () -> TopicMessages.encode(answer(TopicMessages.decodeQuestion(message))), control::execute);
+            default -> residency.receive(message);
+        };
+    }
+
+    private TopicMessages.Answer answer(TopicMessages.Question question) {
+        return switch (question.topic()) {
+            case "config" -> configTopic.answer(question.fromOffset());
+            case "servers" -> serverTopic.answer(question.fromOffset());
+            default ->
+                throw new IllegalArgumentException(
+                        "topic '" + question.topic() + "' is not relayed; the asking node runs another version");
+        };
     }
 
     /** Returns whether this node knows enough to serve. */
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/ResidencyClient.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/ResidencyClient.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import org.agatehatch.api.fleet.PeerAddress;
 import org.agatehatch.api.fleet.ServerEntry;
@@ -21,6 +22,7 @@
 import org.agatehatch.internal.process.FleetView;
 import org.agatehatch.internal.process.LoadBoard;
 import org.agatehatch.internal.process.NodeIdentity;
+import org.agatehatch.internal.process.ReportPace;
 import org.agatehatch.internal.process.ResidencyDuty;
 import org.agatehatch.internal.process.ResidencyMessages;
 import org.agatehatch.internal.request.ResidencySightings;
@@ -36,8 +38,6 @@
     private static final Logger log = LoggerFactory.getLogger(ResidencyClient.class);
 
     private static final long ASK_TIMEOUT_MILLIS = 250;
-    /** Pause between reports. Queues at the runners change within some hundred milliseconds. */
-    private static final long REPORT_MILLIS = 250;
 
     private final EventLoop loop;
     private final ControlThread control;
@@ -50,6 +50,7 @@
     private final ResidencySightings sightings;
     private final ServerChooser chooser;
     private final LoadBoard board;
+    private final IntSupplier nodes;
     private final CrashLedger crashes;
     private final CrashLedger collected;
     private final Map<ResidencyMessages.Want, CompletionStage<Long>> asked = new HashMap<>();
@@ -67,6 +68,7 @@
             ResidencySightings sightings,
             ServerChooser chooser,
             LoadBoard board,
+            IntSupplier nodes,
             CrashLedger crashes,
             MonotonicClock clock) {
         this.loop = loop;
@@ -80,6 +82,7 @@
         this.sightings = sightings;
         this.chooser = chooser;
         this.board = board;
+        this.nodes = nodes;
         this.crashes = crashes;
         this.collected = new CrashLedger(clock);
     }
@@ -87,7 +90,7 @@
     /** Starts to report over links to the other nodes. */
     void start(NodeLinks nodeLinks) {
         links = nodeLinks;
-        loop.scheduleWithFixedDelay(this::report, REPORT_MILLIS, REPORT_MILLIS, TimeUnit.MILLISECONDS);
+        reportLater();
     }
 
     /** Takes a message of another node. */
@@ -192,6 +195,16 @@
         }
     }
 
+    private void reportLater() {
+        loop.schedule(
+                () -> {
+                    reportLater();
+                    report();
+                },
+                ReportPace.pauseMillis(nodes.getAsInt()),
+                TimeUnit.MILLISECONDS);
+    }
+
     private void report() {
         Optional<NodeIdentity> present = holder.get();
         if (present.isEmpty()) {
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestGateway.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestGateway.java
@@ -54,7 +54,7 @@
         FleetView fleet = new FleetView(Map.of("svc", entries));
         ResidencySightings sightings = new ResidencySightings(clock);
         ServerChooser chooser =
-                new ServerChooser(ChooserSettings.DEFAULT, "d", () -> fleet, sightings, clock, new Random(1));
+                new ServerChooser(ChooserSettings.DEFAULT, "d", () -> fleet, sightings, clock, new Random(1), () -> 1);
         ExchangeParts parts = new ExchangeParts(
                 loop,
                 clock,
