--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/RelayPlan.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/RelayPlan.java
@@ -17,9 +17,14 @@
 
     private RelayPlan() {}
 
+    /** Returns whether some nodes of a group read from others. */
+    public static boolean relaying(NodeView view) {
+        return view.nodes().size() > MOST_WITHOUT_RELAYS;
+    }
+
     /** Returns the node from which a node reads; empty if it reads the store. */
     public static Optional<NodeIdentity> relayOf(NodeIdentity self, NodeView view) {
-        if (view.nodes().size() <= MOST_WITHOUT_RELAYS) {
+        if (!relaying(view)) {
             return Optional.empty();
         }
         List<NodeIdentity> near = view.nodes().stream()
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/RelayedTopic.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/RelayedTopic.java
@@ -4,6 +4,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.BiPredicate;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.agatehatch.api.fleet.KeyedTopic;
@@ -16,8 +18,8 @@
  * is behind, reads the store itself for a while. Runs on the control thread.
  */
 public final class RelayedTopic implements KeyedTopic {
-    /** Pause between two questions to a relay. With the relay's own pause, a change takes about a second. */
-    static final long RELAY_PAUSE_MILLIS = 500;
+    /** Pause that takes the place of a waiting read in a large group. A change takes two pauses at most. */
+    static final long PAUSE_MILLIS = 500;
 
     /** Time for which a node reads the store after its relay has failed it. */
     static final long AVOID_RELAY_MILLIS = 3_000;
@@ -30,6 +32,7 @@
     private final String name;
     private final KeyedTopic store;
     private final Supplier<Optional<Relay>> relay;
+    private final BooleanSupplier relaying;
     private final ControlThread control;
     private final MonotonicClock clock;
     private final TopicRelay read;
@@ -40,18 +43,22 @@
      * Creates a topic of which nothing is known.
      *
      * @param relay the node to read from; empty if this node reads the store
+     * @param relaying whether the group has relays; reads of the store then don't wait, since an answer that is being
+     *     waited for would leave the relay's knowledge of unknown age
      * @param sameMeaning whether a record only renews another one of its key
      */
     public RelayedTopic(
             String name,
             KeyedTopic store,
             Supplier<Optional<Relay>> relay,
+            BooleanSupplier relaying,
             BiPredicate<byte[], byte[]> sameMeaning,
             ControlThread control,
             MonotonicClock clock) {
         this.name = name;
         this.store = store;
         this.relay = relay;
+        this.relaying = relaying;
         this.control = control;
         this.clock = clock;
         this.read = new TopicRelay(sameMeaning, clock);
@@ -79,26 +86,32 @@
     @Override
     public CompletionStage<Changes> changes(long fromOffset, long waitMillis) {
         Optional<Relay> source = usableRelay();
-        if (source.isEmpty()) {
+        if (source.isEmpty() && !relaying.getAsBoolean()) {
             return storeChanges(fromOffset, waitMillis);
         }
-        CompletableFuture<Changes> result = new CompletableFuture<>();
-        Runnable ask = () -> fromRelay(
-                        source.get(),
-                        fromOffset,
-                        answer -> new Changes(
-                                answer.entries(), answer.nextOffset(), answer.nextOffset(), answer.truncated()),
-                        read::add,
-                        () -> storeChanges(fromOffset, 0))
-                .whenComplete((changes, failure) -> complete(result, changes, failure));
+        Supplier<CompletionStage<Changes>> store = () -> storeChanges(fromOffset, 0);
+        Supplier<CompletionStage<Changes>> ask =
+                source.map(from -> relayChanges(from, fromOffset, store)).orElse(store);
         if (waitMillis == 0) {
-            ask.run();
-        } else {
-            control.schedule(Math.min(waitMillis, RELAY_PAUSE_MILLIS), ask);
+            return ask.get();
         }
+        CompletableFuture<Changes> result = new CompletableFuture<>();
+        control.schedule(
+                Math.min(waitMillis, PAUSE_MILLIS),
+                () -> ask.get().whenComplete((changes, failure) -> complete(result, changes, failure)));
         return result;
     }
 
+    private Supplier<CompletionStage<Changes>> relayChanges(
+            Relay source, long fromOffset, Supplier<CompletionStage<Changes>> fallback) {
+        return () -> fromRelay(
+                source,
+                fromOffset,
+                answer -> new Changes(answer.entries(), answer.nextOffset(), answer.nextOffset(), answer.truncated()),
+                read::add,
+                fallback);
+    }
+
     @Override
     public CompletionStage<Boolean> appendAt(String key, byte[] value, long expectedEnd) {
         return store.appendAt(key, value, expectedEnd);
@@ -113,7 +126,7 @@
             Relay source,
             long fromOffset,
             Function<TopicMessages.Answer, T> reader,
-            java.util.function.Consumer<T> recorder,
+            Consumer<T> recorder,
             Supplier<CompletionStage<T>> fallback) {
         CompletableFuture<T> result = new CompletableFuture<>();
         source.apply(new TopicMessages.Question(name, fromOffset))
@@ -155,11 +168,11 @@
     }
 
     private CompletionStage<Changes> storeChanges(long fromOffset, long waitMillis) {
+        long askedNanos = clock.nanos();
         return store.changes(fromOffset, waitMillis)
                 .thenApplyAsync(
                         changes -> {
-                            // A read that waits is answered with what is newest at its end.
-                            read.storeRead(clock.nanos());
+                            read.storeRead(waitMillis > 0 ? clock.nanos() : askedNanos);
                             read.add(changes);
                             relayFailed = relayFailed && usableRelay().isEmpty();
                             return changes;
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/TopicRelay.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/TopicRelay.java
@@ -20,7 +20,7 @@
  */
 final class TopicRelay {
     /** Age of the last read of the store beyond which the answers would be too old for others. */
-    static final long MAX_AGE_MILLIS = 1_000;
+    static final long MAX_AGE_MILLIS = 1_200;
 
     /** Dropped keys that are remembered; a reader that is further behind starts over. */
     private static final int MAX_DROPPED = 512;
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
@@ -167,7 +167,7 @@
     }
 
     private RelayedTopic relayed(String name, KeyedTopic topic, BiPredicate<byte[], byte[]> sameMeaning) {
-        return new RelayedTopic(name, topic, this::relay, sameMeaning, control, clock);
+        return new RelayedTopic(name, topic, this::relay, () -> RelayPlan.relaying(nodes), sameMeaning, control, clock);
     }
 
     private Optional<RelayedTopic.Relay> relay() {
