Replace a silent holder early, and give its successor the demand so far

Nodes whose reports stay unanswered now tell the next two in line; with the word of most nodes the claim is replaced at once. The former holder finds that out within 1.2 s, before the new one acts, as in any takeover. The first report to a new holder carries what the node has seen in the last seconds.

New cases in PlacementClaimTest, ResidencyDutyTest and NodeReportsTest.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/DemandMeter.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/DemandMeter.java
@@ -5,19 +5,26 @@
 import java.util.List;
 import java.util.Map;
 import org.agatehatch.api.fleet.GenerationRequest;
+import org.agatehatch.api.time.MonotonicClock;
 
 /** Adds up the work that this node's requests ask of models, until it is reported. Not safe for use by several threads. */
 public final class DemandMeter {
     /** Runner time that an output token takes beside those of the other requests in a batch. */
     private static final double MILLIS_PER_OUTPUT_TOKEN = 0.35;
 
+    /** Work a second, in milliseconds, below which a model is no longer remembered. */
+    private static final double LEAST_PER_SECOND = 0.5;
+
     private record Subject(String service, String model, String adapter) {}
 
     private final double prefillTokensPerMilli;
+    private final MonotonicClock clock;
     private final Map<Subject, Double> workMillis = new HashMap<>();
+    private final Map<Subject, DemandRate> rates = new HashMap<>();
 
-    public DemandMeter(double prefillTokensPerMilli) {
+    public DemandMeter(double prefillTokensPerMilli, MonotonicClock clock) {
         this.prefillTokensPerMilli = prefillTokensPerMilli;
+        this.clock = clock;
     }
 
     /**
@@ -28,6 +35,17 @@
     public void add(String service, GenerationRequest request, int tokensToRead) {
         double work = tokensToRead / prefillTokensPerMilli + request.maxOutputTokens() * MILLIS_PER_OUTPUT_TOKEN;
         workMillis.merge(new Subject(service, request.model(), request.adapter()), work, Double::sum);
+        rates.computeIfAbsent(new Subject(service, request.model(), ""), subject -> new DemandRate(clock))
+                .add(work);
+    }
+
+    /** Returns the work of the last seconds, for a node that has not had it in reports. */
+    public List<ResidencyMessages.Rate> history() {
+        rates.values().removeIf(rate -> rate.slowPerSecond() < LEAST_PER_SECOND);
+        List<ResidencyMessages.Rate> history = new ArrayList<>();
+        rates.forEach((subject, rate) -> history.add(new ResidencyMessages.Rate(
+                subject.service(), subject.model(), rate.fastPerSecond(), rate.slowPerSecond())));
+        return history;
     }
 
     /** Returns what was added since the last call. */
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/DemandRate.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/DemandRate.java
@@ -24,6 +24,20 @@
         slow.add(workMillis);
     }
 
+    /** Adds what another one has averaged so far. */
+    void addRates(double fastPerSecond, double slowPerSecond) {
+        fast.add(fastPerSecond * FAST_SECONDS);
+        slow.add(slowPerSecond * SLOW_SECONDS);
+    }
+
+    double fastPerSecond() {
+        return fast.perSecond();
+    }
+
+    double slowPerSecond() {
+        return slow.perSecond();
+    }
+
     /** Returns what both averages agree on, so that a moment's chance does not count. */
     double sustainedPerSecond() {
         return Math.min(fast.perSecond(), slow.perSecond());
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/PlacementClaim.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/PlacementClaim.java
@@ -134,6 +134,35 @@
                 : Optional.empty();
     }
 
+    /** Returns the order in which nodes take the claim over: those with the most processor time first. */
+    static List<NodeIdentity> succession(NodeView view) {
+        return view.nodes().stream()
+                .sorted(Comparator.comparingInt(NodeIdentity::capacityPercent)
+                        .reversed()
+                        .thenComparing(NodeIdentity::memberName))
+                .toList();
+    }
+
+    /**
+     * Takes the claim over from a node that is still in the group but does not answer. It finds that out when it reads its
+     * claim, which it does more often than this node waits before it acts.
+     */
+    public void replace(NodeIdentity silent) {
+        topic.snapshot()
+                .whenComplete((snapshot, failure) -> control.execute(() -> {
+                    if (failure != null) {
+                        log.info("event=claim_not_read cause={}", failure.toString());
+                        return;
+                    }
+                    onRead(snapshot, clock.nanos());
+                    boolean stillHolds =
+                            claim.isPresent() && claim.get().member().equals(silent.memberName());
+                    if (stillHolds && memberValid.getAsBoolean()) {
+                        takeOver(snapshot.endOffset());
+                    }
+                }));
+    }
+
     private void check() {
         // Other nodes read only when the group changes; a holder that left without a change is found here.
         if (isOwn() || holderGone() || changedSinceRead) {
@@ -209,12 +238,7 @@
 
     /** The nodes try one after the other, those with the most processor time first, so that they don't all write at once. */
     private void takeOverInTurn(long endOffset, long generation) {
-        List<NodeIdentity> inLine = nodes.nodes().stream()
-                .sorted(Comparator.comparingInt(NodeIdentity::capacityPercent)
-                        .reversed()
-                        .thenComparing(NodeIdentity::memberName))
-                .toList();
-        int rank = Math.max(0, inLine.indexOf(self));
+        int rank = Math.max(0, succession(nodes).indexOf(self));
         Optional<Claim> seen = claim;
         control.schedule(rank * RANK_PAUSE_MILLIS, () -> {
             boolean unchanged = claim.equals(seen) && nodes.generation() == generation;
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/ResidencyDuty.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/ResidencyDuty.java
@@ -85,8 +85,7 @@
     private final ResidencyPlanner planner;
     private final LoadCeiling ceiling;
     private final Map<String, RunnerWork> works = new HashMap<>();
-    private final Map<String, DemandRate> demand = new HashMap<>();
-    private final Map<String, Long> adapterUsedMillis = new HashMap<>();
+    private final DemandBoard demand;
     private final Map<String, Long> reportedAtMillis = new HashMap<>();
     private final Map<String, Announced> announced = new LinkedHashMap<>();
     private boolean acting;
@@ -124,6 +123,7 @@
         this.control = control;
         this.clock = clock;
         this.orderCounter = orderCounter;
+        this.demand = new DemandBoard(clock);
         this.planner = new ResidencyPlanner(ResidencyPlanner.Settings.DEFAULT);
         this.ceiling = new LoadCeiling(clock, loadWindowSeconds, loadOvershoot);
     }
@@ -133,16 +133,15 @@
         control.schedule(TICK_MILLIS, this::tick);
     }
 
-    /** Takes a node's report: it holds this node for the one that gives orders, and has seen some demand. */
-    public void onReport(String node, List<ResidencyMessages.Demand> entries) {
+    /**
+     * Takes a node's report: it holds this node for the one that gives orders, and has seen some demand.
+     *
+     * @param history what it has seen before it knew that; empty in later reports
+     */
+    public void onReport(String node, List<ResidencyMessages.Demand> entries, List<ResidencyMessages.Rate> history) {
         reportedAtMillis.put(node, clock.millis());
-        for (ResidencyMessages.Demand entry : entries) {
-            demand.computeIfAbsent(key(entry.service(), entry.model()), name -> new DemandRate(clock))
-                    .add(entry.workMillis());
-            if (!entry.adapter().isEmpty()) {
-                adapterUsedMillis.put(key(entry.model(), entry.adapter()), clock.millis());
-            }
-        }
+        demand.add(entries);
+        demand.addHistory(history);
     }
 
     /** Returns the changes of the last seconds, for the nodes' choice of runners. */
@@ -162,8 +161,7 @@
         if (usableRight().isEmpty()) {
             return CompletableFuture.completedFuture(ResidencyMessages.Held.NOBODY);
         }
-        demand.computeIfAbsent(key(want.service(), want.model()), name -> new DemandRate(clock))
-                .add(WANT_WORK_MILLIS);
+        demand.addWanted(want.service(), want.model(), WANT_WORK_MILLIS);
         if (want.adapter().isEmpty()) {
             if (clock.millis() - plannedAtMillis >= WANT_PLAN_MILLIS) {
                 tickNow();
@@ -196,7 +194,7 @@
     }
 
     private CompletionStage<ResidencyMessages.Held> wantAdapter(ResidencyMessages.Want want) {
-        adapterUsedMillis.put(key(want.model(), want.adapter()), clock.millis());
+        demand.adapterUsed(want.model(), want.adapter());
         Optional<EngineSpec> engine = engine(want.service());
         if (engine.isEmpty()) {
             return CompletableFuture.completedFuture(ResidencyMessages.Held.NOBODY);
@@ -288,12 +286,7 @@
         }
         Map<String, ResidencyPlanner.Work> workByModel = new HashMap<>();
         for (String model : engine.models().keySet()) {
-            DemandRate rate = demand.get(key(service, model));
-            workByModel.put(
-                    model,
-                    rate == null
-                            ? ResidencyPlanner.Work.NONE
-                            : new ResidencyPlanner.Work(rate.perSecond(), rate.sustainedPerSecond()));
+            workByModel.put(model, demand.work(service, model));
         }
         planner.plan(engine, runners, workByModel, storeLoads()).forEach(planned -> carryOut(engine, planned));
     }
@@ -464,7 +457,7 @@
             long oldestMillis = clock.millis() - ADAPTER_IN_USE_MILLIS;
             for (String model : ledger.models()) {
                 for (String adapter : ledger.adapters(model)) {
-                    long usedMillis = adapterUsedMillis.getOrDefault(key(model, adapter), Long.MIN_VALUE);
+                    long usedMillis = demand.adapterUsedAtMillis(model, adapter);
                     boolean wanted = pending.containsKey(key(model, adapter));
                     if (!wanted && usedMillis < oldestMillis) {
                         oldest = new ResidencyOrder(ResidencyOrder.Action.UNLOAD, model, adapter);
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/ResidencyMessages.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/ResidencyMessages.java
@@ -16,11 +16,27 @@
     public static final String HELD = "held_by";
     /** Type of a {@link Report}. */
     public static final String REPORT = "node_report";
+    /** Type of a {@link Silent}. */
+    public static final String SILENT = "holder_silent";
     /** Type of the answer to a report. */
     public static final String OTHERS = "others_loads";
 
     private ResidencyMessages() {}
 
+    /** A node whose reports another one has not answered for some time. */
+    public record Silent(String node, String holder) {}
+
+    /** Encodes word of a silent node. */
+    public static PeerMessage encode(Silent silent) {
+        return message(SILENT, Map.of("n", silent.node(), "h", silent.holder()));
+    }
+
+    /** Decodes word of a silent node. */
+    public static Silent decodeSilent(PeerMessage message) {
+        Fields fields = fields(message);
+        return new Silent(fields.text("n"), fields.text("h"));
+    }
+
     /** A model, or an adapter of it, that no candidate holds. */
     public record Want(String service, String model, String adapter) {}
 
@@ -38,10 +54,27 @@
     /** Work that a node's requests have asked of a model and adapter since its last message. */
     public record Demand(String service, String model, String adapter, double workMillis) {}
 
-    /** What a node tells of its requests: the demand since its last report, and what it has in flight. */
+    /**
+     * Work a second that a node's requests have asked of a model.
+     *
+     * @param fastPerSecond average of the last second or two
+     * @param slowPerSecond average of some seconds
+     */
+    public record Rate(String service, String model, double fastPerSecond, double slowPerSecond) {}
+
+    /**
+     * What a node tells of its requests: the demand since its last report, and what it has in flight.
+     *
+     * @param history the demand before that, for a node that has just been found to give orders
+     */
     public record Report(
-            String node, List<Demand> demand, Map<String, LoadBoard.Load> loads, List<CrashLedger.Strike> strikes) {
+            String node,
+            List<Demand> demand,
+            Map<String, LoadBoard.Load> loads,
+            List<CrashLedger.Strike> strikes,
+            List<Rate> history) {
         public Report {
+            history = List.copyOf(history);
             demand = List.copyOf(demand);
             loads = Map.copyOf(loads);
             strikes = List.copyOf(strikes);
@@ -98,6 +131,7 @@
         body.put("d", entries);
         body.put("l", loadFields(report.loads()));
         body.put("c", strikeFields(report.strikes()));
+        body.put("p", rateFields(report.history()));
         return message(REPORT, body);
     }
 
@@ -107,7 +141,10 @@
         List<Demand> demand = fields.maps("d").stream()
                 .map(entry -> new Demand(entry.text("s"), entry.text("m"), entry.text("a"), entry.integer("w")))
                 .toList();
-        return new Report(fields.text("n"), demand, loads(fields.map("l")), strikes(fields));
+        List<Rate> history = fields.maps("p").stream()
+                .map(entry -> new Rate(entry.text("s"), entry.text("m"), entry.integer("f"), entry.integer("o")))
+                .toList();
+        return new Report(fields.text("n"), demand, loads(fields.map("l")), strikes(fields), history);
     }
 
     /** Encodes the answer to a report. */
@@ -130,6 +167,20 @@
         return new Others(loads(fields.map("l")), strikes(fields), changes);
     }
 
+    private static List<Object> rateFields(List<Rate> rates) {
+        List<Object> entries = new ArrayList<>();
+        rates.forEach(rate -> entries.add(Map.of(
+                "s",
+                rate.service(),
+                "m",
+                rate.model(),
+                "f",
+                Math.round(rate.fastPerSecond()),
+                "o",
+                Math.round(rate.slowPerSecond()))));
+        return entries;
+    }
+
     private static List<Object> strikeFields(List<CrashLedger.Strike> strikes) {
         List<Object> entries = new ArrayList<>();
         strikes.forEach(strike -> entries.add(Map.of("f", strike.fingerprint(), "p", strike.process())));
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/NodeReportsTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/NodeReportsTest.java
@@ -22,7 +22,10 @@
                 "n1",
                 List.of(new ResidencyMessages.Demand("s", "m", "", 120)),
                 Map.of("r1", new LoadBoard.Load(3, 4_000)),
-                List.of(strike));
+                List.of(strike),
+                List.of(new ResidencyMessages.Rate("s", "m", 300, 200)));
+        ResidencyMessages.Silent silent = new ResidencyMessages.Silent("n1", "n2|d|h|i|75");
+        assertEquals(ResidencyMessages.decodeSilent(ResidencyMessages.encode(silent)), silent);
         assertEquals(ResidencyMessages.decodeReport(ResidencyMessages.encode(report)), report);
         ResidencyMessages.Others others = new ResidencyMessages.Others(
                 report.loads(), report.strikes(), List.of(new ResidencyMessages.Change("r1", "m", "", false)));
@@ -50,11 +53,16 @@
 
     @Test
     public void demand_is_reported_once() {
-        DemandMeter meter = new DemandMeter(40);
+        VirtualTime time = new VirtualTime();
+        DemandMeter meter = new DemandMeter(40, time);
         GenerationRequest request = new GenerationRequest("m", "a1", 4_000, 100, List.of());
         meter.add("s", request, 4_000);
         meter.add("s", request, 0);
         assertEquals(meter.take(), List.of(new ResidencyMessages.Demand("s", "m", "a1", 100 + 35 + 35)));
         assertEquals(meter.take(), List.of());
+        ResidencyMessages.Rate rate = meter.history().get(0);
+        assertEquals(rate.slowPerSecond(), 170 / 5.0, 0.1);
+        time.advance(60_000);
+        assertEquals(meter.history(), List.of(), "demand that is long past");
     }
 }
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/PlacementClaimTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/PlacementClaimTest.java
@@ -128,6 +128,49 @@
         assertEquals(violations, List.of());
     }
 
+    /** A holder that was lost while demand moved left the runners without orders until its membership had ended. */
+    @Test
+    public void a_holder_that_most_nodes_do_not_reach_is_replaced_before_it_leaves_the_group() {
+        Node before = holder();
+        before.thread.pause();
+        NodeView view = new NodeView(nodes.stream().map(node -> node.identity).toList(), generation);
+        Node next = nodes.stream().filter(node -> node != before).findFirst().orElseThrow();
+        HolderWatch watch = new HolderWatch(
+                next.identity, () -> view, () -> next.holder, next.claim::replace, next.thread, next.thread);
+        watch.onSilent("n1", before.identity.memberName());
+        watch.onSilent("n2", before.identity.memberName());
+        time.advance(1_000);
+        assertEquals(next.holder, Optional.of(before.identity), "half of the nodes are not enough");
+        watch.onSilent("n3", before.identity.memberName());
+        watch.onSilent("n2", before.identity.memberName());
+        watch.onSilent("n1", before.identity.memberName());
+        time.advance(2_200);
+        assertTrue(next.claim.right().isPresent());
+        before.thread.resume();
+        time.advance(2_000);
+        assertEquals(before.claim.right(), Optional.empty());
+        assertEquals(violations, List.of());
+    }
+
+    @Test
+    public void nodes_tell_of_a_holder_only_after_several_unanswered_reports() {
+        Node reporter = nodes.get(0);
+        Node reached = nodes.get(1);
+        NodeView view = new NodeView(nodes.stream().map(node -> node.identity).toList(), generation);
+        HolderWatch watch = new HolderWatch(
+                reporter.identity, () -> view, () -> reporter.holder, silent -> {}, reporter.thread, reporter.thread);
+        for (int i = 0; i < 3; i++) {
+            assertEquals(watch.reported(reached.identity, false), List.of());
+        }
+        watch.reported(reached.identity, true);
+        for (int i = 0; i < 3; i++) {
+            assertEquals(watch.reported(reached.identity, false), List.of());
+        }
+        List<NodeIdentity> told = watch.reported(reached.identity, false);
+        assertEquals(told.size(), 2);
+        assertFalse(told.contains(reached.identity));
+    }
+
     @Test
     public void a_frozen_holder_does_not_act_when_it_wakes_after_its_replacement() {
         Node before = holder();
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/ResidencyDutyTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/ResidencyDutyTest.java
@@ -172,12 +172,28 @@
         CompletableFuture<ResidencyMessages.Held> held = fleet.want("hot", "a1");
         fleet.time.advance(2_000);
         assertEquals(held.join(), ResidencyMessages.Held.NOBODY);
-        fleet.duty.onReport("node-2", List.of());
+        fleet.duty.onReport("node-2", List.of(), List.of());
         CompletableFuture<ResidencyMessages.Held> later = fleet.want("hot", "a1");
         fleet.time.advance(100);
         assertFalse(later.join().runner().isEmpty());
     }
 
+    /** A new holder that first had to see the demand itself left models short of runners for seconds. */
+    @Test
+    public void a_new_holder_plans_with_the_demand_that_nodes_have_seen_before() {
+        ResidencyFixture fleet = fleet();
+        fleet.time.advance(5_000);
+        List<ResidencyMessages.Rate> history =
+                List.of(new ResidencyMessages.Rate(ResidencyFixture.SERVICE, "next", 700, 700));
+        fleet.duty.onReport("node-1", List.of(), history);
+        fleet.duty.onReport("node-2", List.of(), history);
+        fleet.time.advance(600);
+        assertTrue(
+                fleet.runners.values().stream().anyMatch(runner -> runner.busy),
+                "orders are on their way after the first look");
+        check(fleet);
+    }
+
     @Test
     public void lost_answers_never_lead_beyond_a_runners_memory() {
         ResidencyFixture fleet = fleet();
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/ResidencyFixture.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/ResidencyFixture.java
@@ -132,7 +132,10 @@
         if (forMillis <= 0) {
             return;
         }
-        duty.onReport("node-1", List.of(new ResidencyMessages.Demand(SERVICE, model, "", workMillisPerSecond / 4)));
+        duty.onReport(
+                "node-1",
+                List.of(new ResidencyMessages.Demand(SERVICE, model, "", workMillisPerSecond / 4)),
+                List.of());
         time.at(250, () -> demand(model, workMillisPerSecond, forMillis - 250));
     }
 
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
@@ -35,6 +35,7 @@
 import org.agatehatch.internal.process.EntryNodes;
 import org.agatehatch.internal.process.FleetView;
 import org.agatehatch.internal.process.FollowerSettings;
+import org.agatehatch.internal.process.HolderWatch;
 import org.agatehatch.internal.process.KeyedFollower;
 import org.agatehatch.internal.process.LoadBoard;
 import org.agatehatch.internal.process.MembershipSettings;
@@ -95,7 +96,7 @@
     private final BackendPool serverPool;
     private final StopSequence stop;
     private final ResidencySightings sightings = new ResidencySightings(clock);
-    private final DemandMeter meter = new DemandMeter(ChooserSettings.DEFAULT.prefillTokensPerMilli());
+    private final DemandMeter meter = new DemandMeter(ChooserSettings.DEFAULT.prefillTokensPerMilli(), clock);
     private final ServerChooser chooser;
     private final CrashLedger crashes = new CrashLedger(clock);
     private final ResidencyDuty duty;
@@ -161,6 +162,7 @@
                 chooser,
                 new LoadBoard(clock, this::nodeCount),
                 this::nodeCount,
+                new HolderWatch(settings.self(), () -> nodes, () -> placementHolder, claim::replace, control, clock),
                 crashes,
                 clock);
         stop = new StopSequence(settings.stopMillis(), clock, membership, control);
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/ResidencyClient.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/ResidencyClient.java
@@ -20,6 +20,7 @@
 import org.agatehatch.internal.process.CrashLedger;
 import org.agatehatch.internal.process.DemandMeter;
 import org.agatehatch.internal.process.FleetView;
+import org.agatehatch.internal.process.HolderWatch;
 import org.agatehatch.internal.process.LoadBoard;
 import org.agatehatch.internal.process.NodeIdentity;
 import org.agatehatch.internal.process.ReportPace;
@@ -51,10 +52,12 @@
     private final ServerChooser chooser;
     private final LoadBoard board;
     private final IntSupplier nodes;
+    private final HolderWatch watch;
     private final CrashLedger crashes;
     private final CrashLedger collected;
     private final Map<ResidencyMessages.Want, CompletionStage<Long>> asked = new HashMap<>();
     private NodeLinks links;
+    private String historyKnownBy = "";
 
     ResidencyClient(
             EventLoop loop,
@@ -69,6 +72,7 @@
             ServerChooser chooser,
             LoadBoard board,
             IntSupplier nodes,
+            HolderWatch watch,
             CrashLedger crashes,
             MonotonicClock clock) {
         this.loop = loop;
@@ -83,6 +87,7 @@
         this.chooser = chooser;
         this.board = board;
         this.nodes = nodes;
+        this.watch = watch;
         this.crashes = crashes;
         this.collected = new CrashLedger(clock);
     }
@@ -114,6 +119,10 @@
                         .thenAccept(held -> answer.complete(ResidencyMessages.encode(held)));
             case ResidencyMessages.REPORT ->
                 answer.complete(ResidencyMessages.encode(take(ResidencyMessages.decodeReport(message))));
+            case ResidencyMessages.SILENT -> {
+                ResidencyMessages.Silent silent = ResidencyMessages.decodeSilent(message);
+                watch.onSilent(silent.node(), silent.holder());
+            }
             default ->
                 answer.completeExceptionally(
                         new IllegalArgumentException("message type '" + message.type() + "' is not known"));
@@ -168,7 +177,7 @@
 
     /** Runs on the control thread of the node that collects the reports. */
     private ResidencyMessages.Others take(ResidencyMessages.Report report) {
-        duty.onReport(report.node(), report.demand());
+        duty.onReport(report.node(), report.demand(), report.history());
         collected.merge(report.strikes());
         return new ResidencyMessages.Others(
                 board.exchange(report.node(), report.loads()), collected.strikes(), duty.changes());
@@ -210,29 +219,53 @@
         if (present.isEmpty()) {
             return;
         }
-        ResidencyMessages.Report report =
-                new ResidencyMessages.Report(self.name(), meter.take(), chooser.ownLoads(), crashes.strikes());
-        if (present.get().name().equals(self.name())) {
+        NodeIdentity to = present.get();
+        boolean known = historyKnownBy.equals(to.memberName());
+        List<ResidencyMessages.Demand> demand = meter.take();
+        ResidencyMessages.Report report = new ResidencyMessages.Report(
+                self.name(),
+                known ? demand : withoutWork(demand),
+                chooser.ownLoads(),
+                crashes.strikes(),
+                known ? List.of() : meter.history());
+        if (to.name().equals(self.name())) {
+            historyKnownBy = to.memberName();
             control.execute(() -> {
                 ResidencyMessages.Others others = take(report);
                 loop.execute(() -> onOthers(others));
             });
             return;
         }
-        links.ask(address(present.get()), ResidencyMessages.encode(report), ASK_TIMEOUT_MILLIS)
+        links.ask(address(to), ResidencyMessages.encode(report), ASK_TIMEOUT_MILLIS)
                 .thenApply(ResidencyMessages::decodeOthers)
                 .whenComplete((others, failure) -> loop.execute(() -> {
                     if (failure == null) {
+                        historyKnownBy = to.memberName();
                         onOthers(others);
                     } else {
-                        log.debug(
-                                "event=report_not_answered holder={} cause={}",
-                                present.get().name(),
-                                failure.toString());
+                        log.debug("event=report_not_answered holder={} cause={}", to.name(), failure.toString());
                     }
+                    control.execute(() -> watch.reported(to, failure == null).forEach(node -> tellSilent(node, to)));
                 }));
     }
 
+    /** The history contains the work of the last entries. */
+    private static List<ResidencyMessages.Demand> withoutWork(List<ResidencyMessages.Demand> demand) {
+        return demand.stream()
+                .map(entry -> new ResidencyMessages.Demand(entry.service(), entry.model(), entry.adapter(), 0))
+                .toList();
+    }
+
+    private void tellSilent(NodeIdentity node, NodeIdentity silent) {
+        if (node.name().equals(self.name())) {
+            watch.onSilent(self.name(), silent.memberName());
+            return;
+        }
+        links.send(
+                address(node),
+                ResidencyMessages.encode(new ResidencyMessages.Silent(self.name(), silent.memberName())));
+    }
+
     private String address(NodeIdentity node) {
         return new PeerAddress(node.host(), peerPort).toString();
     }
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestGateway.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestGateway.java
@@ -65,7 +65,7 @@
                 new BackendPool(loop, clock, 250, opened -> {}),
                 new RetryAllowance(clock, 0.2, 100, 10_000, () -> 1),
                 (service, model, adapter) -> CompletableFuture.completedFuture(-1L),
-                new DemandMeter(38.7),
+                new DemandMeter(38.7, clock),
                 new CrashLedger(clock),
                 () -> refusing,
                 new GatewayMetrics(),
