Unload adapters only when no request uses them

The runner then waits for the stream's end and answers 409 to every other order; 54 of 153 orders met that, and requests for the model's other adapters were refused for four seconds. Ruled out: model orders in progress (none).

Reports now name the adapters of the requests in flight, so the time since the last use can fall to that of a missed report; a runner that waits counts as busy, so that wants are answered at once. Cases in ResidencyDutyTest and NodeReportsTest failed before.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/DemandMeter.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/DemandMeter.java
@@ -20,6 +20,7 @@
     private final double prefillTokensPerMilli;
     private final MonotonicClock clock;
     private final Map<Subject, Double> workMillis = new HashMap<>();
+    private final Map<Subject, Integer> inUse = new HashMap<>();
     private final Map<Subject, DemandRate> rates = new HashMap<>();
 
     public DemandMeter(double prefillTokensPerMilli, MonotonicClock clock) {
@@ -39,6 +40,20 @@
                 .add(work);
     }
 
+    /** Notes that a request for a generation was sent; its adapter is in use until {@link #ended}. */
+    public void sent(String service, GenerationRequest request) {
+        if (!request.adapter().isEmpty()) {
+            inUse.merge(new Subject(service, request.model(), request.adapter()), 1, Integer::sum);
+        }
+    }
+
+    /** Notes that a request that was sent has ended. */
+    public void ended(String service, GenerationRequest request) {
+        inUse.computeIfPresent(
+                new Subject(service, request.model(), request.adapter()),
+                (subject, count) -> count > 1 ? count - 1 : null);
+    }
+
     /** Returns the work of the last seconds, for a node that has not had it in reports. */
     public List<ResidencyMessages.Rate> history() {
         rates.values().removeIf(rate -> rate.slowPerSecond() < LEAST_PER_SECOND);
@@ -48,8 +63,9 @@
         return history;
     }
 
-    /** Returns what was added since the last call. */
+    /** Returns what was added since the last call, and the adapters in use. */
     public List<ResidencyMessages.Demand> take() {
+        inUse.keySet().forEach(subject -> workMillis.putIfAbsent(subject, 0.0));
         List<ResidencyMessages.Demand> taken = new ArrayList<>();
         workMillis.forEach((subject, work) ->
                 taken.add(new ResidencyMessages.Demand(subject.service(), subject.model(), subject.adapter(), work)));
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/ResidencyDuty.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/ResidencyDuty.java
@@ -49,9 +49,6 @@
     /** Time for which an adapter is wanted; requests wait no longer. */
     private static final long WANT_MILLIS = 400;
 
-    /** Time since its last request after which an adapter is probably not in use. */
-    private static final long ADAPTER_IN_USE_MILLIS = 3_000;
-
     /** Time of an adapter's load; the users' sheets state 5 to 9.7 ms. */
     private static final long ADAPTER_LOAD_MILLIS = 11;
 
@@ -454,7 +451,8 @@
         /** The adapter that was asked for least lately; one that may be in use is not given up. */
         private Optional<ResidencyOrder> oldestAdapter() {
             ResidencyOrder oldest = null;
-            long oldestMillis = clock.millis() - ADAPTER_IN_USE_MILLIS;
+            // Nodes name the adapters that their requests use in each report.
+            long oldestMillis = clock.millis() - ReportPace.missedMillis(nodes.getAsInt());
             for (String model : ledger.models()) {
                 for (String adapter : ledger.adapters(model)) {
                     long usedMillis = demand.adapterUsedAtMillis(model, adapter);
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/RunnerLedger.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/RunnerLedger.java
@@ -93,7 +93,8 @@
     void onAccepted(ResidencyOrder order, long busyUntil) {
         ordersAccepted++;
         apply(order);
-        if (!order.forAdapter()) {
+        // An adapter in use is dropped after its last request, and until then the runner takes no other order.
+        if (!order.forAdapter() || order.action() == ResidencyOrder.Action.UNLOAD) {
             busy = true;
             busyUntilMillis = busyUntil;
         }
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/NodeReportsTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/NodeReportsTest.java
@@ -51,6 +51,20 @@
         assertEquals(board.exchange("n1", Map.of()), Map.of(), "reports of nodes that have fallen silent");
     }
 
+    /** A runner that is told to drop an adapter in use takes no other order until its last request has ended. */
+    @Test
+    public void an_adapter_is_reported_for_as_long_as_a_request_uses_it() {
+        DemandMeter meter = new DemandMeter(40, new VirtualTime());
+        GenerationRequest request = new GenerationRequest("m", "a1", 4_000, 100, List.of());
+        meter.sent("s", request);
+        meter.sent("s", request);
+        assertEquals(meter.take(), List.of(new ResidencyMessages.Demand("s", "m", "a1", 0)));
+        meter.ended("s", request);
+        assertEquals(meter.take(), List.of(new ResidencyMessages.Demand("s", "m", "a1", 0)));
+        meter.ended("s", request);
+        assertEquals(meter.take(), List.of());
+    }
+
     @Test
     public void demand_is_reported_once() {
         VirtualTime time = new VirtualTime();
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/ResidencyDutyTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/ResidencyDutyTest.java
@@ -194,6 +194,26 @@
         check(fleet);
     }
 
+    /** Found on almaty-hone trouble-1: wants of a runner's adapters were each held until they timed out, for seconds. */
+    @Test
+    public void a_runner_that_waits_for_an_adapters_last_request_is_not_asked_for_others() {
+        ResidencyFixture fleet = fleet();
+        fleet.time.advance(3_000);
+        for (int i = 1; i <= 4; i++) {
+            fleet.want("next", "a" + i);
+            fleet.time.advance(100);
+        }
+        fleet.runners.get("r1").adaptersInUse.addAll(List.of("a1", "a2", "a3", "a4"));
+        fleet.time.advance(5_000);
+        fleet.want("next", "a5");
+        fleet.time.advance(400);
+        assertTrue(fleet.runners.get("r1").busy, "waits for the last request of an adapter");
+        CompletableFuture<ResidencyMessages.Held> held = fleet.want("next", "a6");
+        fleet.time.advance(10);
+        assertTrue(held.isDone(), "answered at once");
+        assertEquals(held.join().runner(), "");
+    }
+
     @Test
     public void lost_answers_never_lead_beyond_a_runners_memory() {
         ResidencyFixture fleet = fleet();
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/ResidencyFixture.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/ResidencyFixture.java
@@ -188,6 +188,11 @@
         }
         if (order.action() == ResidencyOrder.Action.UNLOAD) {
             runner.ordersAccepted++;
+            if (runner.adaptersInUse.contains(order.adapter())) {
+                runner.busy = true;
+                dropOnceUnused(runner, adapters, order.adapter());
+                return Reply.ACCEPTED;
+            }
             adapters.remove(order.adapter());
             return Reply.HOLDS;
         }
@@ -199,6 +204,15 @@
         return Reply.ACCEPTED;
     }
 
+    private void dropOnceUnused(Runner runner, Set<String> adapters, String adapter) {
+        if (runner.adaptersInUse.contains(adapter)) {
+            time.at(10, () -> dropOnceUnused(runner, adapters, adapter));
+            return;
+        }
+        adapters.remove(adapter);
+        runner.busy = false;
+    }
+
     private Reply carryOutModel(Runner runner, ResidencyOrder order) {
         ModelSpec model = models.get(order.model());
         runner.ordersAccepted++;
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
@@ -44,6 +44,9 @@
 
     void connect() {
         load.sent(choice.promptTokensToRead());
+        exchange.terms()
+                .generation()
+                .ifPresent(generation -> exchange.parts().demand().sent(server().service(), generation));
         exchange.acquire(choice.server(), this);
     }
 
@@ -202,6 +205,9 @@
         silence.ifPresent(timer -> timer.cancel(false));
         countRead();
         load.ended();
+        exchange.terms()
+                .generation()
+                .ifPresent(generation -> exchange.parts().demand().ended(server().service(), generation));
     }
 
     private void noteFirst() {
