--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/ResidencyPlanner.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/ResidencyPlanner.java
@@ -160,7 +160,10 @@
                     load(runner, model).ifPresent(orders::add);
                     continue;
                 }
+                // The runner does not serve the model yet, so it does not relieve those that do.
+                replicas.merge(model, -1, Integer::sum);
                 List<String> victims = victims(runner, model, neededMb(model));
+                replicas.merge(model, 1, Integer::sum);
                 if (!victims.isEmpty()) {
                     orders.add(drop(runner, victims.get(0), model));
                 }
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/ResidencyDutyTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/ResidencyDutyTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
@@ -214,6 +215,24 @@
         assertEquals(held.join().runner(), "");
     }
 
+    /** Found on almaty-hone trouble-1: the room that was being made counted as a runner, and its second half waited 4 s. */
+    @Test
+    public void room_for_a_pressed_model_is_made_without_a_pause_between_two_unloads() {
+        ResidencyFixture fleet = new ResidencyFixture().model("big", 72_700, 4.2);
+        String[] idle = {"idle-1", "idle-2", "idle-3", "idle-4", "idle-5"};
+        for (String model : idle) {
+            fleet.model(model, 34_300, 2);
+        }
+        fleet.runner("r1", "big").runner("r2", idle).start();
+        fleet.runners.get("r1").held.put("idle-6", new HashSet<>());
+        fleet.model("idle-6", 120_000, 2);
+        fleet.time.advance(5_000);
+        fleet.demand("big", 2_000, 30_000);
+        fleet.time.advance(11_000);
+        assertEquals(fleet.holders("big"), 2);
+        check(fleet);
+    }
+
     @Test
     public void lost_answers_never_lead_beyond_a_runners_memory() {
         ResidencyFixture fleet = fleet();
