--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/DemandMeter.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/DemandMeter.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import org.agatehatch.api.fleet.GenerationRequest;
+import org.agatehatch.api.fleet.PromptPart;
 import org.agatehatch.api.time.MonotonicClock;
 
 /** Adds up the work that this node's requests ask of models, until it is reported. Not safe for use by several threads. */
@@ -15,6 +16,9 @@
     /** Work a second, in milliseconds, below which a model is no longer remembered. */
     private static final double LEAST_PER_SECOND = 0.5;
 
+    /** Callers of these sites repeat a refused request once. */
+    private static final double REFUSED_PART = 0.5;
+
     private record Subject(String service, String model, String adapter) {}
 
     private final double prefillTokensPerMilli;
@@ -34,7 +38,23 @@
      * @param tokensToRead prompt tokens that are probably not kept
      */
     public void add(String service, GenerationRequest request, int tokensToRead) {
-        double work = tokensToRead / prefillTokensPerMilli + request.maxOutputTokens() * MILLIS_PER_OUTPUT_TOKEN;
+        addWork(service, request, workMillis(request, tokensToRead));
+    }
+
+    /** Adds a request that was refused. Its caller usually comes back once, so that each refusal counts as half of one. */
+    public void addRefused(String service, GenerationRequest request) {
+        List<PromptPart> parts = request.parts();
+        int ownTokens = parts.isEmpty()
+                ? request.promptTokens()
+                : parts.get(parts.size() - 1).tokens();
+        addWork(service, request, REFUSED_PART * workMillis(request, ownTokens));
+    }
+
+    private double workMillis(GenerationRequest request, int tokensToRead) {
+        return tokensToRead / prefillTokensPerMilli + request.maxOutputTokens() * MILLIS_PER_OUTPUT_TOKEN;
+    }
+
+    private void addWork(String service, GenerationRequest request, double work) {
         workMillis.merge(new Subject(service, request.model(), request.adapter()), work, Double::sum);
         rates.computeIfAbsent(new Subject(service, request.model(), ""), subject -> new DemandRate(clock))
                 .add(work);
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/NodeReportsTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/NodeReportsTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import org.agatehatch.api.fleet.GenerationRequest;
+import org.agatehatch.api.fleet.PromptPart;
 import org.agatehatch.api.peer.PeerMessage;
 import org.testng.annotations.Test;
 
@@ -65,6 +66,15 @@
         assertEquals(meter.take(), List.of());
     }
 
+    /** Counting only what was sent hid the demand for a model exactly when its runners could not keep up. */
+    @Test
+    public void refused_requests_count_as_demand() {
+        DemandMeter meter = new DemandMeter(40, new VirtualTime());
+        List<PromptPart> parts = List.of(new PromptPart("a", 3_000), new PromptPart("b", 800));
+        meter.addRefused("s", new GenerationRequest("m", "", 3_800, 100, parts));
+        assertEquals(meter.take(), List.of(new ResidencyMessages.Demand("s", "m", "", (20 + 35) / 2.0)));
+    }
+
     @Test
     public void demand_is_reported_once() {
         VirtualTime time = new VirtualTime();
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Exchange.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Exchange.java
@@ -164,6 +164,7 @@
             onNotResident(missing);
         } else if (choice instanceof ServerChoice.Unavailable unavailable) {
             lastRetryAfterMillis = unavailable.retryAfterMillis();
+            countRefused();
             act(machine.onNoServer(), unavailable.reason());
         }
     }
@@ -197,9 +198,17 @@
 
     private void refuseNotResident(ServerChoice.NotResident missing, long retryAfterMillis) {
         lastRetryAfterMillis = retryAfterMillis;
+        countRefused();
         act(machine.onNoServer(), "not_resident model=" + missing.model() + " adapter=" + missing.adapter());
     }
 
+    /** What could not be sent is asked for all the same, and more runners may have to hold its model. */
+    private void countRefused() {
+        if (tried.isEmpty()) {
+            terms.generation().ifPresent(generation -> parts.demand().addRefused(service, generation));
+        }
+    }
+
     /** Goes on after an attempt. Called once for each. */
     void onAttemptEnd(Attempt attempt, AttemptEnd end, String cause) {
         running = Optional.empty();
