Make room for an absent model while the runner with room is busy for long

Making room takes about a second; a runner that is busy for longer no longer counts. ResidencyDutyTest has the case, which failed before.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/ResidencyDuty.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/ResidencyDuty.java
@@ -276,7 +276,7 @@
         for (ServerEntry entry : fleet.get().servers(service)) {
             RunnerWork work = works.get(entry.id());
             work.refreshReport();
-            runners.add(new ResidencyPlanner.Runner(entry.id(), work.ledger, work.occupied(), work.reservedFor()));
+            runners.add(work.planned());
         }
         if (runners.isEmpty()) {
             return;
@@ -378,6 +378,11 @@
             return over ? "" : reserved;
         }
 
+        private ResidencyPlanner.Runner planned() {
+            long busyForMillis = Math.max(0, ledger.busyUntilMillis() - clock.millis());
+            return new ResidencyPlanner.Runner(entry.id(), ledger, occupied(), busyForMillis, reservedFor());
+        }
+
         private boolean occupied() {
             return !ledger.known() || ledger.busy() || inFlight || retiring || !queue.isEmpty();
         }
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/ResidencyPlanner.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/ResidencyPlanner.java
@@ -27,6 +27,7 @@
      * @param idleWorkMillis work a second up to which a model counts as not asked for
      * @param copyGainMillis work a second that a copy at hand is worth when a runner is chosen
      * @param pressureFactor times the work per runner from which a model may drive out the last copy of an idle one
+     * @param soonMillis time that making room on another runner takes
      */
     public record Settings(
             double workMillisPerRunner,
@@ -35,18 +36,20 @@
             double askedWorkMillis,
             double idleWorkMillis,
             double copyGainMillis,
-            double pressureFactor) {
+            double pressureFactor,
+            long soonMillis) {
         /** Work is a rough sum of prompt and output time; a runner with 0.9 s of it a second queues for seconds. */
-        public static final Settings DEFAULT = new Settings(420, 0.5, 530, 0.5, 3, 150, 2.6);
+        public static final Settings DEFAULT = new Settings(420, 0.5, 530, 0.5, 3, 150, 2.6, 1_000);
     }
 
     /**
      * A runner that may be given orders.
      *
      * @param busy whether it is carrying out an order, or its state is in doubt
+     * @param busyForMillis time until the order should be done
      * @param reservedFor the model for which room is being made there; empty if none is
      */
-    record Runner(String id, RunnerLedger ledger, boolean busy, String reservedFor) {
+    record Runner(String id, RunnerLedger ledger, boolean busy, long busyForMillis, String reservedFor) {
         private boolean openTo(String model) {
             return reservedFor.isEmpty() || reservedFor.equals(model);
         }
@@ -192,10 +195,13 @@
                     return load(runner, model);
                 }
             }
-            // A runner that is busy now and has room will take it; driving out another model would gain nothing.
+            // A runner with room that is soon free will take it; driving out another model would gain nothing.
             boolean roomSoon = runners.stream()
-                    .anyMatch(runner ->
-                            runner.busy() && runner.openTo(model) && hasRoom(runner, neededMb) && !runner.has(model));
+                    .anyMatch(runner -> runner.busy()
+                            && runner.busyForMillis() <= settings.soonMillis()
+                            && runner.openTo(model)
+                            && hasRoom(runner, neededMb)
+                            && !runner.has(model));
             boolean asked = workOf(model) >= settings.askedWorkMillis();
             return !roomSoon && (asked || replicas.get(model) == 0)
                     ? makeRoom(able, model, neededMb)
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/ResidencyDutyTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/ResidencyDutyTest.java
@@ -233,6 +233,22 @@
         check(fleet);
     }
 
+    /** Found on almaty-hone trouble-1: a model that was nowhere waited for a runner that loaded another one for 4 s. */
+    @Test
+    public void room_for_a_model_that_is_nowhere_is_made_while_the_runner_with_room_is_busy_for_seconds() {
+        ResidencyFixture fleet = new ResidencyFixture().model("a", 100_000, 4.2).model("b", 98_000, 4.2);
+        fleet.runner("r1", "a", "b").runner("r2", "a", "b").runner("r3").start();
+        fleet.time.advance(3_000);
+        fleet.demand("a", 3_000, 2_000);
+        fleet.time.advance(1_500);
+        assertEquals(fleet.runners.get("r3").loading, "a");
+        fleet.model("new", 34_300, 1);
+        fleet.demand("new", 200, 10_000);
+        fleet.time.advance(2_800);
+        assertEquals(fleet.holders("new"), 1);
+        check(fleet);
+    }
+
     @Test
     public void lost_answers_never_lead_beyond_a_runners_memory() {
         ResidencyFixture fleet = fleet();
