Tell callers when an absent model will be there, and serve those who came back

The duty now estimates the load; a caller whose remaining time shows that it has come back is taken if the first event is predicted within half of that time. New cases in ResidencyDutyTest and ServerChooserTest failed before.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/ResidencyDuty.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/ResidencyDuty.java
@@ -61,6 +61,9 @@
     /** Time that an unload usually takes: the rest of the runs that need the model. */
     private static final long UNLOAD_MILLIS = 500;
 
+    /** Time until a runner is found for a model that has just been asked for. */
+    private static final long PLAN_MILLIS = 600;
+
     /** Time within which room that is being made for a model should be there. */
     private static final long ROOM_MILLIS = 4_000;
 
@@ -168,7 +171,7 @@
         return wantAdapter(want);
     }
 
-    /** Returns the time until a model that is being loaded, or for which room is being made, should be there. */
+    /** Returns the time until a model should be there; negative if there is no such model. */
     private long readyInMillis(ResidencyMessages.Want want) {
         long nowMillis = clock.millis();
         for (RunnerWork work : works.values()) {
@@ -182,12 +185,15 @@
         ModelSpec model = engine(want.service())
                 .map(engine -> engine.models().get(want.model()))
                 .orElse(null);
-        boolean roomIsMade =
-                works.values().stream().anyMatch(work -> work.reservedFor().equals(want.model()));
-        if (model == null || !roomIsMade) {
+        if (model == null) {
             return -1;
         }
-        return RETIRE_MILLIS + UNLOAD_MILLIS + (long) (model.diskSeconds() * 1_000);
+        boolean atHand = works.values().stream().anyMatch(work -> work.ledger.hasCopy(want.model()));
+        double loadSeconds = atHand ? model.diskSeconds() : model.loadSeconds();
+        boolean roomIsMade =
+                works.values().stream().anyMatch(work -> work.reservedFor().equals(want.model()));
+        long planMillis = roomIsMade ? 0 : PLAN_MILLIS;
+        return planMillis + RETIRE_MILLIS + UNLOAD_MILLIS + (long) (loadSeconds * 1_000);
     }
 
     private CompletionStage<ResidencyMessages.Held> wantAdapter(ResidencyMessages.Want want) {
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/request/ChooserSettings.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/request/ChooserSettings.java
@@ -16,6 +16,8 @@
  * @param homeTrust part of a shared prompt that its home is expected to keep before this node has sent it there
  * @param lateFactor times the target up to which a predicted first event is still accepted
  * @param lateSlackMillis added to that, for errors of the prediction
+ * @param returnedPart part of a route's time below which what is left shows that the caller was refused before
+ * @param returnedWaitPart part of what such a caller has left up to which a predicted first event is accepted
  * @param retryAfterMillis time after which a refused caller should come back if nothing better is known
  */
 public record ChooserSettings(
@@ -30,20 +32,24 @@
         double homeTrust,
         double lateFactor,
         double lateSlackMillis,
+        double returnedPart,
+        double returnedWaitPart,
         long retryAfterMillis) {
     /**
      * The users' sheets state 38.7 tokens a millisecond for prompts alone, steps of 5.47 ms and more with four tokens to an
      * event, and 0.5 to 1.4 ms between domains.
      */
     public static final ChooserSettings DEFAULT =
-            new ChooserSettings(28, 30, 1.4, 5, 2.5, 2, 15, 400, 0.7, 1.5, 400, 800);
+            new ChooserSettings(28, 30, 1.4, 5, 2.5, 2, 15, 400, 0.7, 1.5, 400, 0.9, 0.5, 800);
 
     /**
      * A request that begins much later than its target is worth little, and delays those behind it; its caller does better
-     * to come back.
+     * to come back. One who has come back does not come again, so that a late answer is all it can get.
      */
-    double longestWaitMillis(RouteSpec route) {
-        return route.targetMillis() * lateFactor + lateSlackMillis;
+    double longestWaitMillis(RouteSpec route, long leftMillis) {
+        double firstWaitMillis = route.targetMillis() * lateFactor + lateSlackMillis;
+        boolean returned = leftMillis < returnedPart * route.timeoutMillis();
+        return returned ? Math.max(firstWaitMillis, returnedWaitPart * leftMillis) : firstWaitMillis;
     }
 
     double batchMillisPerRequest(boolean generation) {
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/request/ServerChooser.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/request/ServerChooser.java
@@ -180,7 +180,8 @@
                 bestExplained = explained;
             }
         }
-        double limitMillis = Math.min(query.leftMillis(), settings.longestWaitMillis(query.route()));
+        double limitMillis =
+                Math.min(query.leftMillis(), settings.longestWaitMillis(query.route(), query.leftMillis()));
         if (bestPredicted > limitMillis) {
             long excessMillis = (long) (bestPredicted - limitMillis);
             String reason = "predicted_too_late predicted_ms=" + Math.round(bestPredicted) + " limit_ms="
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/ResidencyDutyTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/ResidencyDutyTest.java
@@ -249,6 +249,20 @@
         check(fleet);
     }
 
+    /** Callers who came back after 0.9 s for a model that takes 4.2 s to load were refused again, and did not come a third time. */
+    @Test
+    public void a_caller_is_told_how_long_the_load_of_an_absent_model_takes() {
+        ResidencyFixture fleet = fleet();
+        fleet.time.advance(3_000);
+        fleet.model("new", 72_700, 4.2);
+        fleet.right = Optional.of(new PlacementRight(1, false));
+        fleet.demand("hot", 100, 10_000);
+        CompletableFuture<ResidencyMessages.Held> held = fleet.want("new", "");
+        fleet.time.advance(10);
+        assertTrue(
+                held.join().readyInMillis() >= 4_200, "ready in " + held.join().readyInMillis());
+    }
+
     @Test
     public void lost_answers_never_lead_beyond_a_runners_memory() {
         ResidencyFixture fleet = fleet();
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/request/ServerChooserTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/request/ServerChooserTest.java
@@ -83,6 +83,11 @@
         return from.choose(new ChoiceQuery(route(800), SERVICE, Optional.of(generation), tried, 6_000, 1_000));
     }
 
+    private ServerChoice chooseWithLeft(long leftMillis, GenerationRequest generation) {
+        return chooser.choose(
+                new ChoiceQuery(route(800), SERVICE, Optional.of(generation), Set.of(), leftMillis, 1_000));
+    }
+
     private ServerChoice.Chosen chosen(GenerationRequest generation) {
         return (ServerChoice.Chosen) choose(chooser, generation, Set.of());
     }
@@ -199,6 +204,21 @@
         assertTrue(chooser.load("r1").failedPart() < 0.01, "old failures count no longer");
     }
 
+    /** A request that is refused a second time is lost, though a late answer would still have been of use. */
+    @Test
+    public void a_caller_who_came_back_is_served_late_rather_than_refused_again() {
+        Map<String, LoadBoard.Load> full = new HashMap<>();
+        for (String id : List.of("r1", "r2", "r3")) {
+            full.put(id, new LoadBoard.Load(60, 50_000));
+        }
+        chooser.othersLoads(full);
+        assertTrue(choose(chooser, prompt("manual", "s", ""), Set.of()) instanceof ServerChoice.Unavailable);
+        assertTrue(chooseWithLeft(5_000, prompt("manual", "s", "")) instanceof ServerChoice.Chosen);
+        assertTrue(
+                chooseWithLeft(2_000, prompt("manual", "s", "")) instanceof ServerChoice.Unavailable,
+                "too little is left");
+    }
+
     @Test
     public void servers_that_were_tried_are_not_chosen_again() {
         assertEquals(
