--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/BackendRegistry.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/BackendRegistry.java
@@ -126,18 +126,18 @@
 
     private static void logChange(ServerEntry before, ServerEntry entry) {
         boolean newProcess = before == null || !before.sameProcess(entry);
-        if (newProcess
-                || before.draining() != entry.draining()
-                || !before.models().equals(entry.models())) {
+        if (newProcess || before.draining() != entry.draining()) {
             log.info(
-                    "event=server_changed server={} service={} address={} domain={} draining={} new_process={} models={}",
+                    "event=server_changed server={} service={} address={} domain={} draining={} new_process={}",
                     entry.id(),
                     entry.service(),
                     entry.address(),
                     entry.failureDomain(),
                     entry.draining(),
-                    newProcess,
-                    entry.models());
+                    newProcess);
+        } else if (log.isDebugEnabled()) {
+            // The node that gives orders logs each of them; on many nodes these lines would be most of the log.
+            log.debug("event=server_models server={} models={}", entry.id(), entry.models());
         }
     }
 
