Keep rare models from driving each other out

The last copies of rare models now yield to a model that is asked for more than once, or if they have not been asked for in 15 s.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/ResidencyPlanner.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/ResidencyPlanner.java
@@ -27,6 +27,8 @@
      * @param idleWorkMillis work a second up to which a model counts as not asked for
      * @param copyGainMillis work a second that a copy at hand is worth when a runner is chosen
      * @param pressureFactor times the work per runner from which a model may drive out the last copy of an idle one
+     * @param busyWorkMillis work a second from which a model is worth more than the last copies of rare ones
+     * @param forgottenWorkMillis work a second that is left of one request after about 15 s
      * @param soonMillis time that making room on another runner takes
      */
     public record Settings(
@@ -37,9 +39,11 @@
             double idleWorkMillis,
             double copyGainMillis,
             double pressureFactor,
+            double busyWorkMillis,
+            double forgottenWorkMillis,
             long soonMillis) {
         /** Work is a rough sum of prompt and output time; a runner with 0.9 s of it a second queues for seconds. */
-        public static final Settings DEFAULT = new Settings(420, 0.5, 530, 0.5, 3, 150, 2.6, 1_000);
+        public static final Settings DEFAULT = new Settings(420, 0.5, 530, 0.5, 3, 150, 2.6, 40, 0.4, 1_000);
     }
 
     /**
@@ -195,10 +199,12 @@
                     return load(runner, model);
                 }
             }
-            // A runner with room that is soon free will take it; driving out another model would gain nothing.
+            // A runner with room will take it, if that is soon or the model can wait; driving out another one would
+            // gain
+            // nothing.
             boolean roomSoon = runners.stream()
                     .anyMatch(runner -> runner.busy()
-                            && runner.busyForMillis() <= settings.soonMillis()
+                            && (!busy(model) || runner.busyForMillis() <= settings.soonMillis())
                             && runner.openTo(model)
                             && hasRoom(runner, neededMb)
                             && !runner.has(model));
@@ -301,7 +307,9 @@
                 return false;
             }
             if (replicas.getOrDefault(victim, 0) < 2) {
-                return pressed(inFavourOf) && workOf(victim) <= settings.idleWorkMillis();
+                // Rare models that drive each other out would each be absent when they are asked for next.
+                double idleMillis = busy(inFavourOf) ? settings.idleWorkMillis() : settings.forgottenWorkMillis();
+                return pressed(inFavourOf) && workOf(victim) <= idleMillis;
             }
             if (workOf(inFavourOf) < settings.askedWorkMillis()) {
                 return lossOf(victim) <= settings.idleWorkMillis();
@@ -311,6 +319,10 @@
             return surplus || (replicas.get(inFavourOf) == 0 && lossOf(victim) < workOf(inFavourOf));
         }
 
+        private boolean busy(String model) {
+            return workOf(model) >= settings.busyWorkMillis();
+        }
+
         private boolean pressed(String model) {
             return (replicas.get(model) == 0 && workOf(model) >= settings.askedWorkMillis())
                     || work.getOrDefault(model, Work.NONE).sustained() / replicas.get(model)
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/ResidencyDutyTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/ResidencyDutyTest.java
@@ -263,6 +263,24 @@
                 held.join().readyInMillis() >= 4_200, "ready in " + held.join().readyInMillis());
     }
 
+    /** Found on iglu-aula quiet-1: ten loads in nine seconds, each for a model that the one before had driven out. */
+    @Test
+    public void rare_models_do_not_drive_each_other_out() {
+        ResidencyFixture fleet = new ResidencyFixture();
+        String[] models = {"rare-1", "rare-2", "rare-3", "rare-4", "rare-5"};
+        for (String model : models) {
+            fleet.model(model, 98_000, 1);
+        }
+        fleet.runner("r1", "rare-1", "rare-2").runner("r2", "rare-3", "rare-4").start();
+        for (int round = 0; round < 12; round++) {
+            for (String model : models) {
+                fleet.demand(model, 200, 250);
+                fleet.time.advance(2_000);
+            }
+        }
+        assertTrue(fleet.ordersGiven <= 4, "orders: " + fleet.ordersGiven);
+    }
+
     @Test
     public void lost_answers_never_lead_beyond_a_runners_memory() {
         ResidencyFixture fleet = fleet();
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/ResidencyFixture.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/ResidencyFixture.java
@@ -40,6 +40,7 @@
     final Set<String> silent = new HashSet<>();
     int nodes = 1;
     boolean losesAnswers;
+    int ordersGiven;
     private final Map<String, ModelSpec> models = new HashMap<>();
     private FleetView fleet = FleetView.EMPTY;
 
@@ -175,6 +176,7 @@
     }
 
     private Reply carryOut(Runner runner, ResidencyOrder order, long expectedOrders) {
+        ordersGiven++;
         if (runner.busy || expectedOrders != runner.ordersAccepted) {
             return Reply.CONFLICT;
         }
