Make one view of the servers for changes that were read together

Each change of a runner made a view of all servers at each node; orders of the first seconds arrive in batches of dozens.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/BackendRegistry.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/BackendRegistry.java
@@ -36,6 +36,8 @@
     private final Map<String, ServerEntry> entries = new LinkedHashMap<>();
     private final Map<String, ControlThread.Scheduled> lapsing = new HashMap<>();
     private boolean caughtUp;
+    private boolean inChanges;
+    private boolean unpublished;
 
     /**
      * Creates an empty registry.
@@ -91,6 +93,19 @@
         remove(key, "left");
     }
 
+    @Override
+    public void together(Runnable changes) {
+        inChanges = true;
+        try {
+            changes.run();
+        } finally {
+            inChanges = false;
+            if (unpublished) {
+                publish();
+            }
+        }
+    }
+
     @Override
     public void onCaughtUp() {
         if (!caughtUp) {
@@ -141,7 +156,12 @@
         }
     }
 
+    /** A view of all servers is made once for changes that were read together. */
     private void publish() {
+        unpublished = inChanges;
+        if (inChanges) {
+            return;
+        }
         Map<String, List<ServerEntry>> byService = new HashMap<>();
         for (ServerEntry entry : entries.values()) {
             if (!entry.draining()) {
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/KeyedFollower.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/KeyedFollower.java
@@ -22,6 +22,11 @@
 public final class KeyedFollower {
     /** Receives the changes of the topic in order. */
     public interface Listener {
+        /** Runs a task that calls the other methods for changes that were read together. */
+        default void together(Runnable changes) {
+            changes.run();
+        }
+
         /** A key has a new value. */
         void onValue(String key, byte[] value);
 
@@ -122,7 +127,7 @@
             snapshot();
             return;
         }
-        changes.entries().forEach(this::apply);
+        listener.together(() -> changes.entries().forEach(this::apply));
         nextOffset = Math.max(nextOffset, changes.nextOffset());
         if (nextOffset < changes.endOffset()) {
             read();
@@ -134,15 +139,13 @@
 
     private void apply(KeyedTopic.Snapshot snapshot) {
         boolean stale = snapshot.endOffset() < nextOffset;
-        Set<String> present = new HashSet<>();
-        for (KeyedTopic.Entry entry : snapshot.entries()) {
-            present.add(entry.key());
-            apply(entry);
-        }
+        listener.together(() -> snapshot.entries().forEach(this::apply));
         if (stale) {
             log.warn("event=stale_snapshot topic={} end={} read_up_to={}", name, snapshot.endOffset(), nextOffset);
             return;
         }
+        Set<String> present = new HashSet<>();
+        snapshot.entries().forEach(entry -> present.add(entry.key()));
         for (String key : List.copyOf(offsetByKey.keySet())) {
             if (!present.contains(key) && offsetByKey.get(key) < snapshot.endOffset()) {
                 offsetByKey.remove(key);
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/StateHandover.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/StateHandover.java
@@ -63,6 +63,11 @@
     /** Returns a listener that keeps the newest records of the servers, and passes them on. */
     KeyedFollower.Listener keeping(KeyedFollower.Listener listener) {
         return new KeyedFollower.Listener() {
+            @Override
+            public void together(Runnable changes) {
+                listener.together(changes);
+            }
+
             @Override
             public void onValue(String key, byte[] value) {
                 servers.put(key, value);
