Fill the queue of log lines only once its writer is blocked, in the test

Cause: the writer takes the first line and then empties the queue; when its thread starts late, that happens in the middle of the 100 lines, and the queue fills a second time. No line was lost without a word. The test now waits until the writer holds its first line; it asks for one report and for each line's account as before.

--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/logging/BoundedAppenderTest.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/logging/BoundedAppenderTest.java
@@ -17,16 +17,18 @@
 /** Guards against log lines that block traffic, and against lines that vanish without a word. */
 public final class BoundedAppenderTest {
     @Test
-    public void a_full_queue_drops_lines_and_says_how_many() {
+    public void a_full_queue_drops_lines_and_says_how_many() throws InterruptedException {
         LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
         Logger logger = context.getLogger("bounded-appender-test");
         logger.setAdditive(false);
         logger.setLevel(Level.INFO);
+        CountDownLatch entered = new CountDownLatch(1);
         CountDownLatch blocked = new CountDownLatch(1);
         List<String> written = new CopyOnWriteArrayList<>();
         AppenderBase<ILoggingEvent> slow = new AppenderBase<>() {
             @Override
             protected void append(ILoggingEvent event) {
+                entered.countDown();
                 try {
                     blocked.await();
                 } catch (InterruptedException e) {
@@ -42,6 +44,9 @@
         queue.addAppender(slow);
         queue.start();
         logger.addAppender(queue);
+        // The writer empties the queue when it starts; a writer that starts late would make room in between.
+        logger.info("first");
+        entered.await();
         for (int i = 0; i < 100; i++) {
             logger.info("line {}", i);
         }
@@ -55,7 +60,7 @@
                 written.stream().filter(line -> line.contains("dropped")).toList();
         assertEquals(reports.size(), 1, written.toString());
         long count = Long.parseLong(reports.get(0).substring(reports.get(0).lastIndexOf('=') + 1));
-        assertEquals(written.size() - 1 + count, 101L);
+        assertEquals(written.size() - 1 + count, 102L);
         assertTrue(written.contains("last"));
     }
 }
