--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/PlacementClaim.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/PlacementClaim.java
@@ -148,13 +148,14 @@
      * claim, which it does more often than this node waits before it acts.
      */
     public void replace(NodeIdentity silent) {
+        long askedNanos = clock.nanos();
         topic.snapshot()
                 .whenComplete((snapshot, failure) -> control.execute(() -> {
                     if (failure != null) {
                         log.info("event=claim_not_read cause={}", failure.toString());
                         return;
                     }
-                    onRead(snapshot, clock.nanos());
+                    onRead(snapshot, askedNanos);
                     boolean stillHolds =
                             claim.isPresent() && claim.get().member().equals(silent.memberName());
                     if (stillHolds && memberValid.getAsBoolean()) {
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
@@ -65,6 +65,9 @@
     /** Runners are at most a few milliseconds away. */
     private static final int SERVER_CONNECT_MILLIS = 250;
 
+    private static final String CONFIG_TOPIC = "config";
+    private static final String SERVER_TOPIC = "servers";
+
     /** Stands for the record of the configuration when another node sends it. */
     private static final String CONFIG_KEY = "config";
 
@@ -116,14 +119,20 @@
         serverPool = new BackendPool(loop, clock, SERVER_CONNECT_MILLIS, metrics::connectionsOpened);
         links = new NodeLinks(group, this::receive);
         ports = portsFactory.apply(new HttpCaller(loop, storePool));
-        configTopic = relayed("config", ports.configTopic(), Arrays::equals);
-        serverTopic = relayed("servers", ports.serverTopic(), this::sameServer);
+        configTopic = relayed(CONFIG_TOPIC, ports.configTopic(), Arrays::equals);
+        serverTopic = relayed(SERVER_TOPIC, ports.serverTopic(), this::sameServer);
         configFollower = new KeyedFollower(
-                "config", configTopic, FollowerSettings.WAITING, control, clock, random, this::onConfig);
+                CONFIG_TOPIC, configTopic, FollowerSettings.WAITING, control, clock, random, this::onConfig);
         registry = new BackendRegistry(ports.serverDecoder(), control, this::sinceStoreRegainedMillis, this::onFleet);
         handover = new StateHandover(otherFirstNodes(settings), control, this::complete, this::onState);
         serverFollower = new KeyedFollower(
-                "servers", serverTopic, FollowerSettings.POLLING, control, clock, random, handover.keeping(registry));
+                SERVER_TOPIC,
+                serverTopic,
+                FollowerSettings.POLLING,
+                control,
+                clock,
+                random,
+                handover.keeping(registry));
         membership = new NodeMembership(
                 settings.self(),
                 ports.group(),
@@ -324,8 +333,8 @@
 
     private TopicMessages.Answer answer(TopicMessages.Question question) {
         return switch (question.topic()) {
-            case "config" -> configTopic.answer(question.fromOffset());
-            case "servers" -> serverTopic.answer(question.fromOffset());
+            case CONFIG_TOPIC -> configTopic.answer(question.fromOffset());
+            case SERVER_TOPIC -> serverTopic.answer(question.fromOffset());
             default ->
                 throw new IllegalArgumentException(
                         "topic '" + question.topic() + "' is not relayed; the asking node runs another version");
