--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
@@ -133,14 +133,7 @@
                 clock,
                 random,
                 handover.keeping(registry));
-        membership = new NodeMembership(
-                settings.self(),
-                ports.group(),
-                new MembershipSettings(RENEW_MILLIS, settings.membershipMillis(), RENEWAL_MARGIN_MILLIS),
-                control,
-                clock,
-                random,
-                this::onNodes);
+        membership = newMembership();
         claim = new PlacementClaim(
                 settings.self(),
                 ports.dutyTopic(),
@@ -199,6 +192,17 @@
         return nodes.nodes().size();
     }
 
+    private NodeMembership newMembership() {
+        return new NodeMembership(
+                settings.self(),
+                ports.group(),
+                new MembershipSettings(RENEW_MILLIS, settings.membershipMillis(), RENEWAL_MARGIN_MILLIS),
+                control,
+                clock,
+                random,
+                this::onNodes);
+    }
+
     private ResidencyDuty newDuty() {
         return new ResidencyDuty(
                 settings.self().name(),
