Log silent attempts and count answers that are cut

An attempt that stays silent for too long was visible only in the end of its attempt line, and a cut answer only in the log. event=attempt_silent tells how long the server was quiet, whether the answer had begun and how much time was left; two counters show how often attempts fall silent and why answers are cut.

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/metrics/GatewayMetrics.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/metrics/GatewayMetrics.java
@@ -19,6 +19,8 @@
     private final Counter answers;
     private final Counter connections;
     private final Counter orders;
+    private final Counter silentAttempts;
+    private final Counter cutAnswers;
     private final Histogram firstByteSeconds;
     private final Histogram requestSeconds;
 
@@ -41,6 +43,15 @@
                 .help("Orders sent to runners, by reply")
                 .labelNames("reply")
                 .register(registry);
+        silentAttempts = Counter.builder()
+                .name("agatehatch_silent_attempts")
+                .help("Attempts at a backend server that received no data for longer than the limit of their route")
+                .register(registry);
+        cutAnswers = Counter.builder()
+                .name("agatehatch_cut_answers")
+                .help("Answers that were cut after they had begun, by the end of the last attempt")
+                .labelNames("cause")
+                .register(registry);
         firstByteSeconds = Histogram.builder()
                 .name("agatehatch_first_byte_seconds")
                 .help("Time from the send to the first byte of an answer's body")
@@ -76,6 +87,16 @@
         firstByteSeconds.observe(afterMillis / MILLIS_PER_SECOND);
     }
 
+    /** Counts an attempt that received no data for longer than its limit. */
+    public void attemptSilent() {
+        silentAttempts.inc();
+    }
+
+    /** Counts an answer that was cut after it had begun. */
+    public void answerCut(String cause) {
+        cutAnswers.labelValues(cause).inc();
+    }
+
     public void connectionsOpened(int count) {
         connections.inc(count);
     }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
@@ -259,6 +259,7 @@
         long allowedMillis = firstByteMillis < 0 ? firstByteTimeoutMillis() : stallTimeoutMillis();
         long quietMillis = exchange.nowMillis() - lastReceivedMillis;
         if (quietMillis >= allowedMillis) {
+            exchange.onSilent(this, quietMillis);
             abort(AttemptEnd.SILENT, "no data received for " + quietMillis + " ms");
             return;
         }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Exchange.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Exchange.java
@@ -253,12 +253,27 @@
             case FAIL -> fail(HttpResponseStatus.BAD_GATEWAY, reason);
             case TIME_OUT -> fail(HttpResponseStatus.GATEWAY_TIMEOUT, reason);
             case CUT_OFF -> {
+                // The rest of a reason holds figures and names, which would make a series of each.
+                context.metrics().answerCut(reason.split(" ", 2)[0]);
                 sink.abort();
                 finish("cut_off " + reason, relay.status());
             }
         }
     }
 
+    /** Called when an attempt has received no data for longer than its limit. */
+    void onSilent(Attempt attempt, long quietMillis) {
+        context.metrics().attemptSilent();
+        log.info(
+                "event=attempt_silent id={} service={} server={} quiet_ms={} answer_begun={} remaining_ms={}",
+                metadata.attemptId(),
+                service,
+                attempt.server().id(),
+                quietMillis,
+                relay.started(),
+                remainingMillis());
+    }
+
     private void onDeadline() {
         if (finished) {
             return;
