--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/ScriptedServer.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/ScriptedServer.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Backend server that answers each request with scripted bytes, and can close, reset or keep the connection afterwards. */
@@ -23,13 +24,17 @@
         SILENCE
     }
 
-    /** A response: its bytes, in which {@code ID} stands for the attempt's id, and what the server does afterwards. */
+    /**
+     * A response and what the server does afterwards. In its bytes, {@code ID} stands for the attempt's id, and {@code PAUSE} for
+     * a pause that lasts until {@link Script#resume()}.
+     */
     record ScriptedResponse(String bytes, AfterResponse afterResponse) {}
 
     /** Responses to the next requests, in order of their arrival at any server that uses the script. */
     static final class Script {
         final List<String> requests = new CopyOnWriteArrayList<>();
         private final List<ScriptedResponse> responses = new CopyOnWriteArrayList<>();
+        private final Semaphore resumptions = new Semaphore(0);
 
         /** Sets the responses to the next requests and clears the recorded ones. The last response repeats. */
         void respondWith(ScriptedResponse... next) {
@@ -38,6 +43,11 @@
             responses.addAll(List.of(next));
         }
 
+        /** Ends one pause. */
+        void resume() {
+            resumptions.release();
+        }
+
         private synchronized ScriptedResponse next(String request) {
             requests.add(request);
             return responses.get(Math.min(requests.size(), responses.size()) - 1);
@@ -80,8 +90,15 @@
                 return;
             }
             ScriptedResponse response = script.next(request);
-            out.write(response.bytes().replace("ID", header(request, "x-id")).getBytes(StandardCharsets.ISO_8859_1));
-            out.flush();
+            String[] parts =
+                    response.bytes().replace("ID", header(request, "x-id")).split("PAUSE", -1);
+            for (int i = 0; i < parts.length; i++) {
+                if (i > 0) {
+                    script.resumptions.acquireUninterruptibly();
+                }
+                out.write(parts[i].getBytes(StandardCharsets.ISO_8859_1));
+                out.flush();
+            }
             if (response.afterResponse() == AfterResponse.RESET) {
                 socket.setSoLinger(true, 0);
             }
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestGateway.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestGateway.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -41,6 +42,7 @@
     volatile boolean leaving;
     volatile boolean refusing;
     final ActiveConfig config = new ActiveConfig();
+    final GatewayMetrics metrics = new GatewayMetrics();
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
     TestGateway(ScriptedServer... servers) {
@@ -68,7 +70,7 @@
                 new DemandMeter(38.7, clock),
                 new PoisonRequestDetector(clock),
                 () -> refusing,
-                new GatewayMetrics(),
+                metrics,
                 ExchangeTimeouts.DEFAULT);
         CallerServer server = new CallerServer(group, clock, () -> LIMITS, () -> leaving, (request, sink) -> {
             Exchange exchange = new Exchange(parts, request, sink);
@@ -96,6 +98,15 @@
         return new RouteSpec(name, HOST, "/" + name + "/", kind, 1_500, 400, 0, services, 2, resumable, 100);
     }
 
+    /** Returns the value of a counter without labels. */
+    int count(String metric) {
+        String scraped = new String(metrics.scrape(), StandardCharsets.UTF_8);
+        return scraped.lines()
+                .filter(line -> line.startsWith(metric + " "))
+                .mapToInt(line -> (int) Double.parseDouble(line.substring(metric.length() + 1)))
+                .sum();
+    }
+
     @Override
     public void close() {
         group.shutdownGracefully();
