Keep a silent attempt open until another server has taken over

What callers saw: a stream of a resumable route was closed in the middle, although its server was sound, its deadline 6 s away, and no other server had been asked. Before the first event, the same request got 502 after 1.5 times its target.

Cause: the silence check closed the connection to the server first and looked for another one afterwards. Most models of such a route are held by one runner, so there was none, and the answer was lost. A second server that refused had the same effect.

SilentServerTest failed in both of its tests ("expected [2] but found [1]").

Fix: the silent attempt stays open, and a successor is sent to another server if there is one and route and retry budget allow it. The first of the two that delivers data provides the answer, and the other is closed. A successor that refuses, fails or breaks off ends nothing. So silence alone never ends an answer, and at most maxAttempts servers can run the request, because both open attempts count as possible runs.

Figures: both tests failed before and pass now, with eight more for the orders in which two open attempts can end.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/request/AttemptEnd.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/request/AttemptEnd.java
@@ -14,7 +14,7 @@
     SERVER_ERROR(true),
     /** The complete response arrived. */
     ANSWERED(true),
-    /** No response arrived within the time limit. The request may have run. */
+    /** The attempt ended because another one delivers the response. The request may have run. */
     SILENT(true);
 
     private final boolean mayHaveRun;
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/request/ForwardingStateMachine.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/request/ForwardingStateMachine.java
@@ -72,9 +72,7 @@
 
     /** Returns the next step after an attempt ended. */
     public NextStep onAttemptEnd(AttemptEnd end) {
-        if (end.mayHaveRun()) {
-            possibleRuns++;
-        }
+        onAttemptEndBesideAnother(end);
         return switch (end) {
             case ANSWERED -> NextStep.DELIVER;
             case NOT_CONNECTED -> ++failedConnects < MAX_FAILED_CONNECTS ? NextStep.RETRY : giveUp();
@@ -84,6 +82,18 @@
         };
     }
 
+    /** Records the end of an attempt while another attempt at the request goes on, so that no next step is needed. */
+    public void onAttemptEndBesideAnother(AttemptEnd end) {
+        if (end.mayHaveRun()) {
+            possibleRuns++;
+        }
+    }
+
+    /** Returns whether the route allows an attempt at a second server while one at a silent server is still open. */
+    public boolean maySendBesideOpenAttempt() {
+        return route.repeatable() && possibleRuns + 1 < route.maxAttempts() && sendCount < MAX_SEND_ATTEMPTS;
+    }
+
     /** Returns the next step if no backend server is available, or none becomes available in time. */
     public NextStep onNoServer() {
         return giveUp();
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/request/WindowedRetryBudget.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/request/WindowedRetryBudget.java
@@ -46,15 +46,20 @@
 
     /** Takes one retry if the budget allows it and returns whether it did. */
     public boolean tryTake(String service) {
-        Window window = window(service);
-        double allowed = USED_FRACTION * (ratio * window.requests() + slack / Math.max(1, nodes.getAsInt()));
-        if (window.retries() + 1 > allowed) {
+        if (!isAvailable(service)) {
             return false;
         }
-        window.addRetry();
+        window(service).addRetry();
         return true;
     }
 
+    /** Returns whether the budget allows one more retry. */
+    public boolean isAvailable(String service) {
+        Window window = window(service);
+        double allowed = USED_FRACTION * (ratio * window.requests() + slack / Math.max(1, nodes.getAsInt()));
+        return window.retries() + 1 <= allowed;
+    }
+
     private Window window(String service) {
         Window window = windows.computeIfAbsent(service, name -> new Window(buckets));
         window.advanceTo(clock.millis() / BUCKET_MILLIS);
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/request/ForwardingStateMachineTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/request/ForwardingStateMachineTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 import java.util.EnumSet;
 import java.util.List;
@@ -101,6 +102,28 @@
                 ForwardingStateMachine.NextStep.TIME_OUT);
     }
 
+    // Guards against a second attempt beside an open one that makes more runs possible than the route allows.
+    @Test
+    public void an_attempt_beside_an_open_one_counts_both_as_possible_runs() {
+        ForwardingStateMachine machine = new ForwardingStateMachine(route(RequestKind.STREAM, true, 2), () -> true);
+        machine.onSent();
+        assertTrue(machine.maySendBesideOpenAttempt());
+        machine.onSent();
+        machine.onAttemptEndBesideAnother(AttemptEnd.SILENT);
+        assertFalse(machine.maySendBesideOpenAttempt());
+        assertEquals(machine.onAttemptEnd(AttemptEnd.BROKEN), ForwardingStateMachine.NextStep.FAIL);
+    }
+
+    @Test
+    public void no_attempt_is_sent_beside_an_open_one_unless_the_route_allows_two_runs() {
+        for (RouteSpec route : List.of(
+                route(RequestKind.AT_MOST_ONCE, false, 3),
+                route(RequestKind.STREAM, false, 3),
+                route(RequestKind.IDEMPOTENT, false, 1))) {
+            assertFalse(new ForwardingStateMachine(route, () -> true).maySendBesideOpenAttempt(), route.toString());
+        }
+    }
+
     /** Random sequences of attempt ends, checked against the guarantees about runs, refusals and sends. */
     @Test
     public void no_sequence_of_attempt_ends_breaks_the_run_guarantees() {
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
@@ -33,6 +33,8 @@
     private boolean promptReadCounted;
     private boolean headReceived;
     private boolean connectRefused;
+    private boolean reading = true;
+    private boolean silenceReported;
     private boolean ended;
 
     Attempt(Exchange exchange, ServerChoice.Chosen choice) {
@@ -65,6 +67,10 @@
     }
 
     void setReading(boolean on) {
+        if (on && !reading) {
+            lastReceivedMillis = exchange.nowMillis();
+        }
+        reading = on;
         connection.ifPresent(open -> open.setReading(on));
     }
 
@@ -100,7 +106,7 @@
             return;
         }
         connection = Optional.of(acquired);
-        exchange.onSent(acquired);
+        exchange.onSent(this);
         startSilenceTimer();
         acquired.send(exchange.buildAttemptRequest(choice.server()), this);
     }
@@ -131,10 +137,19 @@
             abort(AttemptEnd.BROKEN, "success response without the server's signature");
             return Disposition.ACCEPT;
         }
+        if (!success && exchange.isSuccessor(this)) {
+            // The silent attempt may still be answered, so this failure isn't the response of the request.
+            load.recordAnswer(true);
+            abort(AttemptEnd.SERVER_ERROR, "status " + status + " while another attempt is open");
+            return Disposition.ACCEPT;
+        }
         if (exchange.relay().started() && !success) {
             abort(AttemptEnd.BROKEN, "status " + status + " in place of the rest of the stream");
             return Disposition.ACCEPT;
         }
+        if (success) {
+            exchange.onProgress(this);
+        }
         exchange.relay().onHead(head, success && exchange.route().streaming());
         return Disposition.ACCEPT;
     }
@@ -146,6 +161,7 @@
             return;
         }
         onFirstByte();
+        exchange.onProgress(this);
         if (exchange.relay().onContent(content)) {
             exchange.onResponseStarted();
         }
@@ -258,12 +274,15 @@
         }
         long allowedMillis = firstByteMillis < 0 ? firstByteTimeoutMillis() : stallTimeoutMillis();
         long quietMillis = exchange.nowMillis() - lastReceivedMillis;
-        if (quietMillis >= allowedMillis) {
-            exchange.onSilent(this, quietMillis);
-            abort(AttemptEnd.SILENT, "no data received for " + quietMillis + " ms");
+        if (!reading || quietMillis < allowedMillis) {
+            scheduleSilenceCheck(reading ? allowedMillis - quietMillis : allowedMillis);
             return;
         }
-        scheduleSilenceCheck(allowedMillis - quietMillis);
+        if (!exchange.isSuccessor(this)) {
+            exchange.onSilent(this, quietMillis, !silenceReported);
+            silenceReported = true;
+        }
+        scheduleSilenceCheck(exchange.context().timeouts().minSilenceMillis());
     }
 
     private long firstByteTimeoutMillis() {
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Exchange.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Exchange.java
@@ -15,12 +15,12 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.agatehatch.api.fleet.FleetConfig;
 import org.agatehatch.api.fleet.RouteSpec;
 import org.agatehatch.api.fleet.ServerEntry;
 import org.agatehatch.api.fleet.WeightedService;
 import org.agatehatch.gateway.HeaderCodec;
-import org.agatehatch.gateway.connection.BackendConnection;
 import org.agatehatch.gateway.connection.BackendConnectionPool;
 import org.agatehatch.gateway.connection.CallerRequest;
 import org.agatehatch.gateway.connection.RequestHandler;
@@ -33,7 +33,13 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** One caller's request, from its arrival to the end of its response. Runs on the traffic thread. */
+/**
+ * One caller's request, from its arrival to the end of its response. Runs on the traffic thread.
+ *
+ * <p>The current attempt provides the response. While it is silent, a successor may be sent to another server. The first of the
+ * two that delivers data becomes or stays current and the other is withdrawn, so that a silent attempt is given up only once
+ * another has taken over.
+ */
 public final class Exchange implements RequestHandler.InFlightRequest {
     private static final Logger log = LoggerFactory.getLogger(Exchange.class);
 
@@ -66,6 +72,7 @@
     private long deadlineMillis;
     private long fingerprint;
     private Optional<Attempt> currentAttempt = Optional.empty();
+    private Optional<Attempt> successor = Optional.empty();
     private Optional<Future<?>> deadlineTimer = Optional.empty();
     private int residencyWaits;
     private long lastRetryAfterMillis;
@@ -136,7 +143,7 @@
         if (finished) {
             return;
         }
-        currentAttempt.ifPresent(attempt -> abandon(attempt, "caller gone"));
+        abandonAttempts("caller gone");
         sink.onCallerGone();
         finish("caller_gone", 0);
     }
@@ -144,20 +151,14 @@
     @Override
     public void onWritabilityChanged(boolean writable) {
         currentAttempt.ifPresent(attempt -> attempt.setReading(writable));
+        successor.ifPresent(attempt -> attempt.setReading(writable));
     }
 
     private void startAttempt() {
         if (finished) {
             return;
         }
-        ServerChoiceRequest query = new ServerChoiceRequest(
-                route,
-                service,
-                metadata.generation(),
-                Set.copyOf(triedServerIds),
-                remainingMillis(),
-                request.body().length);
-        ServerChoice choice = context.chooser().choose(query);
+        ServerChoice choice = chooseServer();
         if (choice instanceof ServerChoice.Chosen chosen) {
             if (triedServerIds.isEmpty()) {
                 metadata.generation()
@@ -176,6 +177,17 @@
         }
     }
 
+    private ServerChoice chooseServer() {
+        return context.chooser()
+                .choose(new ServerChoiceRequest(
+                        route,
+                        service,
+                        metadata.generation(),
+                        Set.copyOf(triedServerIds),
+                        remainingMillis(),
+                        request.body().length));
+    }
+
     private void onNotResident(ServerChoice.NotResident missing) {
         if (++residencyWaits > MAX_RESIDENCY_WAITS) {
             refuseNotResident(missing, context.timeouts().modelLoadRetryAfterMillis());
@@ -218,10 +230,9 @@
 
     /** Continues after an attempt that ended by itself. Called at most once for each attempt. */
     void onAttemptEnd(Attempt attempt, AttemptEnd end, String cause) {
-        currentAttempt = Optional.empty();
         triedServerIds.add(attempt.server().id());
         logAttempt(attempt, end.name(), cause);
-        if (end == AttemptEnd.NOT_CONNECTED || end == AttemptEnd.BROKEN || end == AttemptEnd.SILENT) {
+        if (end == AttemptEnd.NOT_CONNECTED || end == AttemptEnd.BROKEN) {
             context.chooser().failed(service, attempt.server().id());
         }
         if (end == AttemptEnd.NOT_CONNECTED && attempt.connectRefused()) {
@@ -239,9 +250,40 @@
         if (end == AttemptEnd.REFUSED) {
             lastRetryAfterMillis = context.timeouts().overloadRetryAfterMillis();
         }
+        if (successor.isPresent()) {
+            currentAttempt = isSuccessor(attempt) ? currentAttempt : successor;
+            successor = Optional.empty();
+            machine.onAttemptEndBesideAnother(end);
+            return;
+        }
+        currentAttempt = Optional.empty();
         perform(machine.onAttemptEnd(end), end.name().toLowerCase(Locale.ROOT));
     }
 
+    boolean isSuccessor(Attempt attempt) {
+        return successor.filter(attempt::equals).isPresent();
+    }
+
+    /** Called when an attempt receives data of a response that can be delivered. The attempt becomes or stays current. */
+    void onProgress(Attempt attempt) {
+        if (successor.isEmpty()) {
+            return;
+        }
+        boolean takesOver = isSuccessor(attempt);
+        Attempt other = takesOver ? currentAttempt.orElseThrow() : successor.get();
+        currentAttempt = Optional.of(attempt);
+        successor = Optional.empty();
+        if (other.isSent()) {
+            machine.onAttemptEndBesideAnother(AttemptEnd.SILENT);
+        }
+        other.abandon();
+        if (takesOver) {
+            logAttempt(other, AttemptEnd.SILENT.name(), "another server took over");
+        } else {
+            logAttempt(other, "ABANDONED", "the silent server went on");
+        }
+    }
+
     private void perform(ForwardingStateMachine.NextStep next, String reason) {
         switch (next) {
             case RETRY -> startAttempt();
@@ -261,26 +303,61 @@
         }
     }
 
-    /** Called when an attempt has received no data for longer than its limit. */
-    void onSilent(Attempt attempt, long quietMillis) {
-        context.metrics().attemptSilent();
-        log.info(
-                "event=attempt_silent id={} service={} server={} quiet_ms={} answer_begun={} remaining_ms={}",
-                metadata.attemptId(),
-                service,
-                attempt.server().id(),
-                quietMillis,
-                relay.started(),
-                remainingMillis());
+    /**
+     * Called when the current attempt has received no data for longer than its limit, and again while that lasts. The attempt
+     * stays open, since it may still be answered; a successor is sent to another server if there is one.
+     *
+     * @param first whether this is the first call of this attempt
+     */
+    void onSilent(Attempt attempt, long quietMillis, boolean first) {
+        if (first) {
+            context.metrics().attemptSilent();
+            context.chooser().failed(service, attempt.server().id());
+        }
+        if (successor.isPresent()) {
+            return;
+        }
+        String next = startSuccessor(attempt);
+        if (first || successor.isPresent()) {
+            log.info(
+                    "event=attempt_silent id={} service={} server={} quiet_ms={} answer_begun={} remaining_ms={} next=\"{}\"",
+                    metadata.attemptId(),
+                    service,
+                    attempt.server().id(),
+                    quietMillis,
+                    relay.started(),
+                    remainingMillis(),
+                    next);
+        }
+    }
+
+    /** Sends a successor of a silent attempt if possible, and returns the server's id, or why there is none. */
+    private String startSuccessor(Attempt silent) {
+        if (!machine.maySendBesideOpenAttempt()) {
+            return "no_attempts_left";
+        }
+        if (!context.retryBudget().isAvailable(service)) {
+            return "no_retry_budget";
+        }
+        triedServerIds.add(silent.server().id());
+        ServerChoice choice = chooseServer();
+        if (choice instanceof ServerChoice.Chosen chosen) {
+            context.retryBudget().tryTake(service);
+            Attempt attempt = new Attempt(this, chosen);
+            successor = Optional.of(attempt);
+            attempt.connect();
+            return chosen.server().id();
+        }
+        return choice instanceof ServerChoice.Unavailable unavailable ? unavailable.reason() : "not_resident";
     }
 
     private void onDeadline() {
         if (finished) {
             return;
         }
-        boolean sent = currentAttempt.map(Attempt::isSent).orElse(false);
-        currentAttempt.ifPresent(attempt -> abandon(attempt, "time over"));
-        currentAttempt = Optional.empty();
+        boolean sent = currentAttempt.map(Attempt::isSent).orElse(false)
+                || successor.map(Attempt::isSent).orElse(false);
+        abandonAttempts("time over");
         lastRetryAfterMillis = 0;
         perform(machine.onTimeout(sent), "time_over");
     }
@@ -336,9 +413,15 @@
         }
     }
 
-    private void abandon(Attempt attempt, String cause) {
-        attempt.abandon();
-        logAttempt(attempt, "ABANDONED", cause);
+    private void abandonAttempts(String cause) {
+        List<Attempt> open =
+                Stream.of(currentAttempt, successor).flatMap(Optional::stream).toList();
+        currentAttempt = Optional.empty();
+        successor = Optional.empty();
+        open.forEach(attempt -> {
+            attempt.abandon();
+            logAttempt(attempt, "ABANDONED", cause);
+        });
     }
 
     private void logAttempt(Attempt attempt, String end, String cause) {
@@ -385,11 +468,9 @@
         context.connectionPool().acquire(server.address(), server.processKey(), maxIdleMillis, listener);
     }
 
-    void onSent(BackendConnection connection) {
+    void onSent(Attempt attempt) {
         machine.onSent();
-        if (!sink.isWritable()) {
-            connection.setReading(false);
-        }
+        attempt.setReading(sink.isWritable());
     }
 
     void onResponseStarted() {
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/SilentServerTest.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/SilentServerTest.java
@@ -11,6 +11,7 @@
 import org.agatehatch.gateway.ScriptedServer.ScriptedResponse;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Checks what callers get from a server that pauses for longer than an attempt may be silent, and then goes on. */
@@ -72,6 +73,109 @@
         }
     }
 
+    // Guards against a stream that stays with a silent server although another one can continue it.
+    @Test
+    public void a_silent_stream_is_continued_by_another_server_after_its_last_event() throws IOException {
+        script.respondWith(
+                new ScriptedResponse(EVENTS + FIRST + PAUSE, AfterResponse.KEEP),
+                new ScriptedResponse(EVENTS + SECOND + END, AfterResponse.KEEP));
+        try (TestGateway gateway = new TestGateway(one, two).configured();
+                RawCaller caller = new RawCaller(gateway.port)) {
+            caller.send(RawCaller.request("POST", "/resume/1", "Connection: close\r\n", "body"));
+            assertWholeStream(caller.readAll());
+            script.resume();
+            await("the close at the silent server", () -> one.closedByPeer.get() + two.closedByPeer.get() > 0);
+        }
+        assertEquals(ScriptedServer.header(script.requests.get(1), "last-event-id"), "1");
+    }
+
+    // Guards against two servers that both write to one answer, and against work that goes on for nobody.
+    @Test
+    public void the_second_server_is_withdrawn_when_the_silent_one_goes_on_first() throws IOException {
+        script.respondWith(
+                new ScriptedResponse(EVENTS + FIRST + PAUSE + SECOND + END, AfterResponse.KEEP),
+                new ScriptedResponse("", AfterResponse.SILENCE));
+        try (TestGateway gateway = new TestGateway(one, two).configured();
+                RawCaller caller = new RawCaller(gateway.port)) {
+            caller.send(RawCaller.request("POST", "/resume/1", "Connection: close\r\n", "body"));
+            caller.readUntil("data: a");
+            await("the second send", () -> script.requests.size() == 2);
+            script.resume();
+            assertWholeStream(caller.readAll());
+            await("the close at the second server", () -> one.closedByPeer.get() + two.closedByPeer.get() > 0);
+        }
+    }
+
+    // Guards against an answer that is lost because the server that took over broke off, or failed, while the first
+    // went on.
+    @Test(dataProvider = "failedSuccessors")
+    public void a_stream_that_pauses_is_completed_if_the_other_server_fails(ScriptedResponse failure)
+            throws IOException {
+        script.respondWith(new ScriptedResponse(EVENTS + FIRST + PAUSE + SECOND + END, AfterResponse.KEEP), failure);
+        try (TestGateway gateway = new TestGateway(one, two).configured();
+                RawCaller caller = new RawCaller(gateway.port)) {
+            caller.send(RawCaller.request("POST", "/resume/1", "Connection: close\r\n", "body"));
+            caller.readUntil("data: a");
+            await("the second send", () -> script.requests.size() == 2);
+            script.resume();
+            assertWholeStream(caller.readAll());
+        }
+    }
+
+    @DataProvider
+    public Object[][] failedSuccessors() {
+        return new Object[][] {
+            {new ScriptedResponse("", AfterResponse.RESET)},
+            {
+                new ScriptedResponse(
+                        "HTTP/1.1 500 No\r\nX-Id: ID\r\nX-Seal: s\r\nContent-Length: 0\r\n\r\n", AfterResponse.KEEP)
+            },
+            {new ScriptedResponse("garbage\r\n\r\n", AfterResponse.KEEP)},
+        };
+    }
+
+    // Guards against a failure that is reported before the deadline although the server goes on.
+    @Test
+    public void a_late_plain_response_is_delivered_if_no_other_server_can_answer() throws IOException {
+        script.respondWith(new ScriptedResponse(PAUSE + HEAD + "Content-Length: 2\r\n\r\nok", AfterResponse.KEEP));
+        try (TestGateway gateway = new TestGateway(one).configured();
+                RawCaller caller = new RawCaller(gateway.port)) {
+            caller.send(RawCaller.request("GET", "/safe/1", "Connection: close\r\n", ""));
+            await("the silence", () -> gateway.count(SILENT_ATTEMPTS) > 0);
+            script.resume();
+            String response = caller.readAll();
+            assertTrue(response.startsWith("HTTP/1.1 200 ") && response.endsWith("ok"), response);
+        }
+    }
+
+    // Guards against more sends of a request than its route allows while both servers are silent.
+    @Test
+    public void a_request_at_two_silent_servers_is_answered_504_at_its_deadline_and_closed_at_both()
+            throws IOException {
+        script.respondWith(new ScriptedResponse("", AfterResponse.SILENCE));
+        try (TestGateway gateway = new TestGateway(one, two).configured();
+                RawCaller caller = new RawCaller(gateway.port)) {
+            caller.send(RawCaller.request("GET", "/safe/1", "Connection: close\r\n", ""));
+            String response = caller.readAll();
+            assertTrue(response.startsWith("HTTP/1.1 504 "), response);
+            await("the closes", () -> one.closedByPeer.get() == 1 && two.closedByPeer.get() == 1);
+        }
+        assertEquals(script.requests.size(), 2);
+    }
+
+    // Guards against servers that work on for a caller who has left.
+    @Test
+    public void a_caller_disconnect_closes_both_open_attempts() throws IOException {
+        script.respondWith(new ScriptedResponse("", AfterResponse.SILENCE));
+        try (TestGateway gateway = new TestGateway(one, two).configured()) {
+            try (RawCaller caller = new RawCaller(gateway.port)) {
+                caller.send(RawCaller.request("GET", "/safe/1", "", ""));
+                await("the second send", () -> script.requests.size() == 2);
+            }
+            await("the closes", () -> one.closedByPeer.get() == 1 && two.closedByPeer.get() == 1);
+        }
+    }
+
     private static void assertWholeStream(String rest) {
         assertEquals(rest.split("data: b", -1).length, 2, rest);
         assertTrue(rest.endsWith("\r\n0\r\n\r\n"), rest);
