Read a pooled connection again after a slow caller's response

What callers would see: a request that is sent on a reused connection gets no answer until its deadline, or 502 although its server had only closed an idle connection.

Cause: while a caller reads slowly, reading from the server is paused. If the last bytes of the response were already read then, the connection went back to the pool paused: neither the next response nor the server's close was noticed.

Evidence: found by reading. BackendConnectionTest failed before with "expected [true] but found [false]".

Fix: a connection is read again before it is pooled.

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/BackendConnection.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/BackendConnection.java
@@ -197,6 +197,8 @@
         // one.
         boolean canReuse = reusable && requestWritten && channel.isActive();
         if (canReuse) {
+            // The caller of this response may still be reading slowly, which must not pause the connection's next use.
+            setReading(true);
             connectionListener.onIdle(this);
         } else {
             close();
