Keep a connection open until its last response is written

A caller that reads slowly saw its answer cut: at the end of the serving time of a shutdown, or when the idle or header timeout expired, the connection was closed although the rest of the answer was still in its write buffer.

CallerConnection counted a connection as idle from the moment at which the response was handed to the channel, and a channel that is closed drops what it has not written.

A connection that still writes is now closed only after the write, and its idle timeout counts from the last data that the caller accepted, so that a caller which stops reading is still disconnected.

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/CallerConnection.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/CallerConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -52,6 +53,8 @@
     private ByteArrayOutputStream body = new ByteArrayOutputStream();
     private long headReceivedNanos;
     private long lastActivityNanos;
+    private long lastOutputNanos;
+    private long unwrittenBytes;
     private boolean responding;
     private boolean closing;
     private long headStartedNanos;
@@ -71,12 +74,21 @@
         this.lastActivityNanos = clock.nanos();
     }
 
-    /** Closes the connection if it exceeded the idle timeout, or the timeout for receiving a request's head. */
+    /**
+     * Closes the connection if it exceeded the idle timeout, or the timeout for receiving a request's head. While the caller
+     * still receives a response, only the idle timeout applies, to the time since it last accepted data.
+     */
     void enforceTimeouts() {
         if (responding || !pipelined.isEmpty()) {
             return;
         }
         ClientLimits current = limits.get();
+        if (isWriting()) {
+            if (millisSince(lastOutputNanos) > current.idleTimeoutMillis()) {
+                channel.close();
+            }
+            return;
+        }
         boolean headLate = readingHead && millisSince(headStartedNanos) > current.headerTimeoutMillis();
         if (headLate || millisSince(lastActivityNanos) > current.idleTimeoutMillis()) {
             channel.close();
@@ -101,11 +113,33 @@
         return !responding && pipelined.isEmpty() && incomingHead.isEmpty();
     }
 
-    /** Closes the connection if it is idle. A busy connection closes after its response if the node is leaving. */
+    /**
+     * Closes the connection if it is idle, once its last response is written. A busy connection closes after its response if
+     * the node is leaving.
+     */
     void closeWhenIdle() {
-        if (isIdle()) {
+        if (!isIdle()) {
+            return;
+        }
+        if (!isWriting()) {
             channel.close();
+            return;
+        }
+        // A listener runs before the channel has deducted the written bytes, hence the separate task.
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER)
+                .addListener(written -> channel.eventLoop().execute(this::closeWhenIdle));
+    }
+
+    /** Returns whether responses are not yet written to the socket, and records the progress since the last call. */
+    private boolean isWriting() {
+        ChannelOutboundBuffer output = channel.unsafe().outboundBuffer();
+        long remainingBytes = output == null ? 0 : output.totalPendingWriteBytes() - output.currentProgress();
+        if (remainingBytes != unwrittenBytes) {
+            unwrittenBytes = remainingBytes;
+            lastOutputNanos = clock.nanos();
+            lastActivityNanos = lastOutputNanos;
         }
+        return remainingBytes > 0;
     }
 
     @Override
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/CallerServer.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/CallerServer.java
@@ -88,7 +88,7 @@
                     e);
         }
         loop.scheduleWithFixedDelay(
-                () -> Set.copyOf(connections).forEach(CallerConnection::enforceTimeouts),
+                this::enforceTimeouts,
                 TIMEOUT_CHECK_INTERVAL_MILLIS,
                 TIMEOUT_CHECK_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
@@ -103,6 +103,11 @@
         loop.execute(() -> Set.copyOf(connections).forEach(CallerConnection::closeWhenIdle));
     }
 
+    /** Closes the connections that exceeded a timeout. Runs on the event loop. */
+    void enforceTimeouts() {
+        Set.copyOf(connections).forEach(CallerConnection::enforceTimeouts);
+    }
+
     /** Stops accepting connections. */
     public void stopListening() {
         if (serverChannel != null) {
--- /dev/null
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/connection/CallerServerTest.java
@@ -0,0 +1,129 @@
+package org.agatehatch.gateway.connection;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import org.agatehatch.api.fleet.ClientLimits;
+import org.agatehatch.api.fleet.PeerAddress;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Checks that a caller's connection ends only after the responses to the requests that were read from it. */
+public final class CallerServerTest {
+    private static final ClientLimits LIMITS = new ClientLimits(4_096, 1_000, 400, 1_000);
+    private static final String REQUEST = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+    private static final byte[] LARGE_BODY = new byte[SlowCaller.LARGE_RESPONSE_BYTES];
+
+    private final List<ResponseSink> sinks = new CopyOnWriteArrayList<>();
+    private final AtomicLong nowNanos = new AtomicLong();
+    private MultiThreadIoEventLoopGroup group;
+    private CallerServer server;
+    private int port;
+    private volatile boolean leaving;
+
+    @BeforeMethod
+    public void start() {
+        sinks.clear();
+        leaving = false;
+        group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        server = new CallerServer(group, nowNanos::get, () -> LIMITS, () -> leaving, (request, sink) -> {
+            sinks.add(sink);
+            return new UnansweredRequest();
+        });
+        port = server.bind(new PeerAddress("127.0.0.1", 0));
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
+    private static final class UnansweredRequest implements RequestHandler.InFlightRequest {
+        @Override
+        public void onCallerGone() {}
+
+        @Override
+        public void onWritabilityChanged(boolean writable) {}
+    }
+
+    private void respond(int request, byte[] body) {
+        await("request " + request, () -> sinks.size() > request);
+        onLoop(() -> sinks.get(request).respond(HttpResponseStatus.OK, new DefaultHttpHeaders(), body));
+    }
+
+    private void onLoop(Runnable action) {
+        group.submit(action).syncUninterruptibly();
+    }
+
+    private static void await(String what, BooleanSupplier condition) {
+        long untilNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() < untilNanos, "not seen: " + what);
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(2));
+        }
+    }
+
+    private static int bodyLength(String response) {
+        return response.length() - response.indexOf("\r\n\r\n") - 4;
+    }
+
+    // Guards against a shutdown that closes a connection while its last response is still in the write buffer.
+    @Test
+    public void closing_idle_connections_waits_until_the_response_is_written() throws IOException {
+        try (SlowCaller caller = new SlowCaller(port)) {
+            caller.send(REQUEST);
+            respond(0, LARGE_BODY);
+            leaving = true;
+            server.closeIdle();
+            onLoop(() -> {});
+            assertEquals(bodyLength(caller.readAll()), LARGE_BODY.length);
+        }
+    }
+
+    // Guards against an idle timeout that counts while the caller still receives a response.
+    @Test
+    public void the_idle_timeout_does_not_cut_a_response_that_the_caller_still_reads() throws IOException {
+        try (SlowCaller caller = new SlowCaller(port)) {
+            caller.send(REQUEST);
+            respond(0, LARGE_BODY);
+            int received = 0;
+            for (int i = 0; i < 4; i++) {
+                received += caller.read(LARGE_BODY.length / 5).length;
+                advanceAndCheckTimeouts(LIMITS.idleTimeoutMillis() * 3 / 4);
+            }
+            leaving = true;
+            server.closeIdle();
+            int rest = caller.readAll().length();
+            assertTrue(received + rest > LARGE_BODY.length, "received " + (received + rest));
+        }
+    }
+
+    // Guards against a connection that is kept for a caller that has stopped reading its response.
+    @Test
+    public void a_caller_that_stops_reading_is_disconnected_after_the_idle_timeout() throws IOException {
+        try (SlowCaller caller = new SlowCaller(port)) {
+            caller.send(REQUEST);
+            respond(0, LARGE_BODY);
+            advanceAndCheckTimeouts(0);
+            advanceAndCheckTimeouts(LIMITS.idleTimeoutMillis() + 1);
+            assertTrue(bodyLength(caller.readAll()) < LARGE_BODY.length);
+        }
+    }
+
+    private void advanceAndCheckTimeouts(long millis) {
+        nowNanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(millis));
+        onLoop(server::enforceTimeouts);
+    }
+}
