Answer the requests that precede a rejected one

A caller that sent several requests at once, with a malformed or too large one behind them, got an answer to the first only. The others were never answered, and the connection stayed open until the caller closed it. The same happened to a request that is too large for limits that shrank while earlier requests were served.

A rejection during a response set the connection to closing, and no waiting request is started on such a connection. As requests waited, it was not closed either, neither after the response nor by a timeout.

The rejection now waits behind the requests that were read before it. They are answered in order, then the rejection is, with the only Connection: close header, and the connection closes.

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/CallerConnection.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/CallerConnection.java
@@ -55,6 +55,7 @@
     private long lastActivityNanos;
     private long lastOutputNanos;
     private long unwrittenBytes;
+    private Optional<HttpResponseStatus> rejection = Optional.empty();
     private boolean responding;
     private boolean closing;
     private long headStartedNanos;
@@ -240,7 +241,11 @@
     }
 
     private void startNext() {
-        if (responding || closing || pipelined.isEmpty()) {
+        if (responding) {
+            return;
+        }
+        if (pipelined.isEmpty()) {
+            rejection.ifPresent(this::writeRejection);
             return;
         }
         CallerRequest request = pipelined.poll();
@@ -252,13 +257,16 @@
         }
     }
 
+    /** Reads no more requests. The response with the given status follows those to the requests that were read before. */
     private void reject(HttpResponseStatus status) {
         closing = true;
         incomingHead = Optional.empty();
-        if (responding) {
-            // The response in progress is completed first; the connection closes after it.
-            return;
-        }
+        rejection = Optional.of(status);
+        startNext();
+    }
+
+    private void writeRejection(HttpResponseStatus status) {
+        rejection = Optional.empty();
         log.info(
                 "event=request_rejected peer={} status={} reason=malformed_or_too_large",
                 channel.remoteAddress(),
@@ -359,7 +367,8 @@
         }
 
         private boolean canStayOpen() {
-            return keepAlive && !closing && !leaving.getAsBoolean();
+            boolean responsesFollow = !pipelined.isEmpty() || rejection.isPresent();
+            return keepAlive && (responsesFollow || (!closing && !leaving.getAsBoolean()));
         }
 
         private void finish(boolean keepOpen) {
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/connection/CallerServerTest.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/connection/CallerServerTest.java
@@ -122,6 +122,21 @@
         }
     }
 
+    // Guards against dropping whole requests that wait behind another one when a malformed request follows them.
+    @Test
+    public void requests_before_a_malformed_one_are_answered_first() throws IOException {
+        try (SlowCaller caller = new SlowCaller(port)) {
+            caller.send(REQUEST + REQUEST + "GET /a HTTP/1.1\r\n\r\n" + REQUEST);
+            respond(0, new byte[] {'a'});
+            respond(1, new byte[] {'b'});
+            String responses = caller.readAll();
+            List<String> statusLines =
+                    responses.lines().filter(line -> line.contains("HTTP/1.1")).toList();
+            assertEquals(statusLines, List.of("HTTP/1.1 200 OK", "aHTTP/1.1 200 OK", "bHTTP/1.1 400 Bad Request"));
+            assertEquals(responses.split("connection: close", -1).length, 2, responses);
+        }
+    }
+
     private void advanceAndCheckTimeouts(long millis) {
         nowNanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(millis));
         onLoop(server::enforceTimeouts);
