Write the earlier response before closing for an aborted one

A caller that reads slowly and had sent two requests lost the rest of the complete answer to the first when the answer to the second was broken off: the connection closed with the first answer still in its write buffer.

The close now follows the write of the last complete response. If that was already written, it follows at once, as before. The connection no longer counts as responding, so a caller that stops reading is disconnected after the idle timeout.

Before the fix an_aborted_stream_does_not_cut_the_response_before_it failed with "expected [true] but found [false]" for the length.

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/CallerConnection.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/CallerConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -55,6 +56,7 @@
     private long lastActivityNanos;
     private long lastOutputNanos;
     private long unwrittenBytes;
+    private ChannelFuture lastResponseWrite;
     private Optional<HttpResponseStatus> rejection = Optional.empty();
     private boolean responding;
     private boolean closing;
@@ -73,6 +75,7 @@
         this.leaving = leaving;
         this.clock = clock;
         this.lastActivityNanos = clock.nanos();
+        this.lastResponseWrite = channel.newSucceededFuture();
     }
 
     /**
@@ -307,8 +310,7 @@
                 response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.length);
             }
             boolean keepOpen = setConnectionHeader(response.headers());
-            channel.writeAndFlush(response);
-            finish(keepOpen);
+            finish(keepOpen, channel.writeAndFlush(response));
         }
 
         @Override
@@ -337,8 +339,8 @@
             if (done) {
                 return;
             }
-            channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-            finish(chunked && canStayOpen());
+            boolean keepOpen = chunked && canStayOpen();
+            finish(keepOpen, channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
         }
 
         @Override
@@ -348,9 +350,11 @@
             }
             done = true;
             closing = true;
+            responding = false;
             inFlight = Optional.empty();
+            pipelined.clear();
             channel.flush();
-            channel.close();
+            lastResponseWrite.addListener(ChannelFutureListener.CLOSE);
         }
 
         @Override
@@ -371,8 +375,9 @@
             return keepAlive && (responsesFollow || (!closing && !leaving.getAsBoolean()));
         }
 
-        private void finish(boolean keepOpen) {
+        private void finish(boolean keepOpen, ChannelFuture written) {
             done = true;
+            lastResponseWrite = written;
             inFlight = Optional.empty();
             responding = false;
             lastActivityNanos = clock.nanos();
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/connection/CallerServerTest.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/connection/CallerServerTest.java
@@ -137,6 +137,21 @@
         }
     }
 
+    // Guards against a truncated stream that takes the unread rest of the response before it along.
+    @Test
+    public void an_aborted_stream_does_not_cut_the_response_before_it() throws IOException {
+        try (SlowCaller caller = new SlowCaller(port)) {
+            caller.send(REQUEST + REQUEST);
+            respond(0, LARGE_BODY);
+            await("the second request", () -> sinks.size() == 2);
+            onLoop(() -> {
+                sinks.get(1).startResponse(HttpResponseStatus.OK, new DefaultHttpHeaders());
+                sinks.get(1).abort();
+            });
+            assertTrue(caller.readAll().length() > LARGE_BODY.length);
+        }
+    }
+
     private void advanceAndCheckTimeouts(long millis) {
         nowNanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(millis));
         onLoop(server::enforceTimeouts);
