Send nothing after a response that ends with its connection

A caller with HTTP/1.0 that sent a further request while it received a stream got the answer to that request as part of the stream's body, and the connection stayed open, so the stream never ended.

Such a stream has no length and ends with its connection, but waiting requests kept the connection open. They are now discarded without being run, and the connection closes after the stream.

Before the fix a_stream_without_a_length_ends_its_connection failed with "Read timed out".

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/CallerConnection.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/CallerConnection.java
@@ -339,6 +339,10 @@
             if (done) {
                 return;
             }
+            if (!chunked) {
+                // The end of the connection delimits this response, so none can follow it.
+                pipelined.clear();
+            }
             boolean keepOpen = chunked && canStayOpen();
             finish(keepOpen, channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
         }
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/connection/CallerServerTest.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/connection/CallerServerTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import io.netty.buffer.Unpooled;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -152,6 +153,23 @@
         }
     }
 
+    // Guards against a second response in the body of one that ends with its connection.
+    @Test
+    public void a_stream_without_a_length_ends_its_connection() throws IOException {
+        try (SlowCaller caller = new SlowCaller(port)) {
+            String request = "GET /a HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n";
+            caller.send(request + request);
+            await("the request", () -> sinks.size() == 1);
+            onLoop(() -> {
+                sinks.get(0).startResponse(HttpResponseStatus.OK, new DefaultHttpHeaders());
+                sinks.get(0).write(Unpooled.wrappedBuffer(new byte[] {'a'}));
+                sinks.get(0).complete();
+            });
+            assertTrue(caller.readAll().endsWith("\r\n\r\na"));
+            assertEquals(sinks.size(), 1);
+        }
+    }
+
     private void advanceAndCheckTimeouts(long millis) {
         nowNanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(millis));
         onLoop(server::enforceTimeouts);
