Keep the other requests on a link whose one request timed out

Callers whose requests waited for a model or an adapter were refused with 503 because the question of another request, on the same link to the placement holder, was not answered in time. An adapter order may wait longer for its runner than a question waits for its answer, so this needs no broken link. Reports and relayed reads on the link were lost too.

A timeout closed the connection at once, and with it failed all requests that waited on it.

After a timeout the connection gets no further requests, as before, but it is closed only once none waits on it. Each of these ends with its own answer or its own timeout.

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/links/TcpPeerTransport.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/links/TcpPeerTransport.java
@@ -17,7 +17,9 @@
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
@@ -34,7 +36,8 @@
 
 /**
  * Sends messages to other nodes over TCP connections that are opened on demand and kept. A connection on which a request timed
- * out is closed, since an established connection may stay silent for good while new connections work.
+ * out gets no further messages, since an established connection may stay silent for good while new connections work. It is
+ * closed once no request waits on it.
  */
 public final class TcpPeerTransport implements PeerTransport {
     private static final Logger log = LoggerFactory.getLogger(TcpPeerTransport.class);
@@ -54,6 +57,7 @@
     private final MessageHandler handler;
     private final Map<String, ChannelFuture> connections = new HashMap<>();
     private final Map<Long, PendingRequest> pendingRequests = new HashMap<>();
+    private final Set<Channel> retired = new HashSet<>();
     private long lastCorrelationId;
 
     private record PendingRequest(Channel channel, CompletableFuture<PeerMessage> response) {}
@@ -111,7 +115,7 @@
         loop.schedule(
                 () -> {
                     if (pendingRequests.remove(correlation) != null) {
-                        channel.close();
+                        retire(nodeAddress, channel);
                         response.completeExceptionally(
                                 unreachable(nodeAddress, "no answer within " + timeoutMillis + " ms"));
                     }
@@ -120,6 +124,19 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    private void retire(String nodeAddress, Channel channel) {
+        connections.computeIfPresent(nodeAddress, (address, current) -> current.channel() == channel ? null : current);
+        retired.add(channel);
+        closeIfUnused(channel);
+    }
+
+    private void closeIfUnused(Channel channel) {
+        boolean unused = pendingRequests.values().stream().noneMatch(request -> request.channel == channel);
+        if (unused && retired.remove(channel)) {
+            channel.close();
+        }
+    }
+
     private ChannelFuture connectionTo(String nodeAddress) {
         ChannelFuture existing = connections.get(nodeAddress);
         boolean usable = existing != null
@@ -189,6 +206,9 @@
             if (request == null) {
                 return;
             }
+            if (retired.contains(request.channel)) {
+                closeIfUnused(request.channel);
+            }
             if (frame.kind() == PeerFrame.Kind.FAILURE) {
                 request.response.completeExceptionally(unreachable(peer, "the node failed to process the request"));
                 return;
@@ -198,6 +218,7 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
+            retired.remove(context.channel());
             String peer = String.valueOf(context.channel().remoteAddress());
             pendingRequests.values().removeIf(request -> {
                 boolean lost = request.channel == context.channel();
