End the process only after the last response is written

At a planned stop, a caller with a large answer or a slow connection got only a part of it, although the grace period was not over. A request whose body was still arriving was cut too, instead of being answered.

The shutdown counted a request as finished when its response was handed to the channel, and ended the process while the rest was still in the write buffer. A request that was not yet read whole was not counted.

The shutdown now waits until all connections of callers are closed. Idle ones are closed when serving ends, the others once their response is written. The grace period still limits the wait. The group is left through a callback, so that the sequence can be tested without a store.

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/CallerServer.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/CallerServer.java
@@ -12,8 +12,8 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
-import java.util.HashSet;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
@@ -38,7 +38,7 @@
     private final Supplier<ClientLimits> limits;
     private final BooleanSupplier leaving;
     private final RequestHandler handler;
-    private final Set<CallerConnection> connections = new HashSet<>();
+    private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
     private Channel serverChannel;
 
     public CallerServer(
@@ -103,6 +103,11 @@
         loop.execute(() -> Set.copyOf(connections).forEach(CallerConnection::closeWhenIdle));
     }
 
+    /** Returns whether a caller is connected. Thread-safe. */
+    public boolean hasConnections() {
+        return !connections.isEmpty();
+    }
+
     /** Closes the connections that exceeded a timeout. Runs on the event loop. */
     void enforceTimeouts() {
         Set.copyOf(connections).forEach(CallerConnection::enforceTimeouts);
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
@@ -171,7 +171,11 @@
                         settings.self(), () -> nodes, () -> placementHolder, claim::takeOverFrom, control, clock),
                 crashLedger,
                 clock);
-        shutdown = new GracefulShutdown(settings.shutdownGraceMillis(), clock, membership, control);
+        shutdown = new GracefulShutdown(settings.shutdownGraceMillis(), clock, this::leaveGroup);
+    }
+
+    private void leaveGroup() {
+        control.execute(membership::leave);
     }
 
     private RelayedTopic newRelayedTopic(String name, KeyedTopic topic, BiPredicate<byte[], byte[]> sameContent) {
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/GracefulShutdown.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/GracefulShutdown.java
@@ -5,18 +5,17 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
 import org.agatehatch.api.time.MonotonicClock;
 import org.agatehatch.gateway.connection.CallerServer;
 import org.agatehatch.gateway.connection.ResponseSink;
 import org.agatehatch.gateway.logging.LogSetup;
-import org.agatehatch.internal.process.ControlThread;
-import org.agatehatch.internal.process.NodeMembership;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
  * Shuts the process down without aborting requests: the node leaves the group, keeps serving while callers may still have
- * its address, then refuses new requests and waits for those in flight.
+ * its address, then refuses new requests and waits until the responses are written and the connections of callers are closed.
  */
 final class GracefulShutdown {
     private static final Logger log = LoggerFactory.getLogger(GracefulShutdown.class);
@@ -31,17 +30,15 @@
 
     private final long graceMillis;
     private final MonotonicClock clock;
-    private final NodeMembership membership;
-    private final ControlThread control;
+    private final Runnable leaveGroup;
     private final AtomicInteger inFlight = new AtomicInteger();
     private volatile boolean leaving;
     private volatile boolean refusingRequests;
 
-    GracefulShutdown(long graceMillis, MonotonicClock clock, NodeMembership membership, ControlThread control) {
+    GracefulShutdown(long graceMillis, MonotonicClock clock, Runnable leaveGroup) {
         this.graceMillis = graceMillis;
         this.clock = clock;
-        this.membership = membership;
-        this.control = control;
+        this.leaveGroup = leaveGroup;
     }
 
     /** Registers the shutdown sequence to run when the process is asked to stop. */
@@ -65,22 +62,22 @@
         return new CountedSink(sink);
     }
 
-    private void run(CallerServer server) {
+    void run(CallerServer server) {
         long startMillis = clock.millis();
         leaving = true;
         log.info("event=stop_begun in_flight={}", inFlight.get());
-        control.execute(membership::leave);
-        waitUntil(startMillis + SERVE_AFTER_LEAVE_MILLIS, false);
+        leaveGroup.run();
+        waitUntil(startMillis + SERVE_AFTER_LEAVE_MILLIS, () -> false);
         refusingRequests = true;
         server.stopListening();
         server.closeIdle();
-        waitUntil(startMillis + graceMillis - PROCESS_EXIT_RESERVE_MILLIS, true);
+        waitUntil(startMillis + graceMillis - PROCESS_EXIT_RESERVE_MILLIS, () -> !server.hasConnections());
         log.info("event=stop_ended in_flight={} took_ms={}", inFlight.get(), clock.millis() - startMillis);
         LogSetup.flush();
     }
 
-    private void waitUntil(long deadlineMillis, boolean untilIdle) {
-        while (clock.millis() < deadlineMillis && !(untilIdle && inFlight.get() == 0)) {
+    private void waitUntil(long deadlineMillis, BooleanSupplier condition) {
+        while (clock.millis() < deadlineMillis && !condition.getAsBoolean()) {
             LockSupport.parkNanos(POLL_INTERVAL_MILLIS * 1_000_000);
         }
     }
