Limit the size of a plain response body

A server in trouble may send a body without end: without a length, in chunks, or with a huge Content-Length. The body was buffered whole and without a limit, so that the caller waited until its deadline and got 504, and one such response could fill the heap of a node.

ResponseRelay now fails a plain body above 256 KiB, in the way in which EventSplitter fails an event that is too long. The connection closes and the attempt ends as broken: 502 at once for a request that cannot be repeated, another server for one that can.

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ResponseRelay.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ResponseRelay.java
@@ -16,6 +16,9 @@
  * stream is relayed in whole events, so that another server can continue it after the last one.
  */
 final class ResponseRelay {
+    /** Plain responses are some KB; a hundred incomplete ones of this size fit a heap of 128 MiB. */
+    private static final int MAX_PLAIN_BODY_BYTES = 256 * 1024;
+
     private final ResponseSink sink;
     private final boolean resumable;
     private EventSplitter splitter = new EventSplitter();
@@ -46,9 +49,17 @@
         holdsCompleteResponse = false;
     }
 
-    /** Processes a chunk of the body and returns whether data was written to the caller. */
+    /**
+     * Processes a chunk of the body and returns whether data was written to the caller.
+     *
+     * @throws IllegalStateException if a plain body or an event of a resumable stream exceeds its limit
+     */
     boolean onContent(ByteBuf chunk) {
         if (!streaming) {
+            if (body.size() + chunk.readableBytes() > MAX_PLAIN_BODY_BYTES) {
+                throw new IllegalStateException(
+                        "response body exceeds the limit of " + MAX_PLAIN_BODY_BYTES + " bytes");
+            }
             byte[] bytes = new byte[chunk.readableBytes()];
             chunk.readBytes(bytes);
             body.writeBytes(bytes);
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestGateway.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestGateway.java
@@ -5,6 +5,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -46,11 +47,15 @@
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
     TestGateway(ScriptedServer... servers) {
+        this(Arrays.stream(servers).map(ScriptedServer::port).toList());
+    }
+
+    TestGateway(List<Integer> serverPorts) {
         MonotonicClock clock = MonotonicClock.system();
         EventLoop loop = group.next();
         List<ServerEntry> entries = new ArrayList<>();
-        for (ScriptedServer server : servers) {
-            PeerAddress address = new PeerAddress("127.0.0.1", server.port());
+        for (int serverPort : serverPorts) {
+            PeerAddress address = new PeerAddress("127.0.0.1", serverPort);
             entries.add(new ServerEntry("s" + entries.size(), "svc", address, "d", 8, false, 1, List.of(), Set.of()));
         }
         FleetView fleet = new FleetView(Map.of("svc", entries));
