End a refused attempt at the head of its response

A response that declares that the request did not run was read to its end although nothing of its body is used. With a body without end the caller waited until its deadline and got 504, which says that the request may have run, while another server could have served it.

The attempt now ends with the socket read that brought the head. The connection discards the rest by itself: it returns to the pool if the rest takes at most 16 KiB and 500 ms, and is closed otherwise, so that ordinary refusals cost no new connection.

EndlessRefusalTest failed before the fix in all 12 cases with a body without end: "HTTP/1.1 504 Gateway Timeout" in place of 200 from the other server, and in place of 503 if all servers refuse.

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/BackendConnection.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/BackendConnection.java
@@ -1,5 +1,6 @@
 package org.agatehatch.gateway.connection;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -13,6 +14,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.agatehatch.api.time.MonotonicClock;
 
 /**
@@ -22,6 +24,12 @@
 public final class BackendConnection extends ChannelInboundHandlerAdapter {
     private static final int FIRST_FINAL_STATUS_CODE = 200;
 
+    /** Bodies of refusals fit into one socket read of this size. */
+    private static final int MAX_DISCARDED_BYTES = 16 * 1024;
+
+    /** Time for the rest of a discarded response, which follows its head within a round trip. */
+    private static final long DISCARD_TIMEOUT_MILLIS = 500;
+
     /** The part of a response that is read next. */
     private enum Phase {
         HEAD,
@@ -77,6 +85,24 @@
         close();
     }
 
+    /**
+     * Discards the rest of the response in flight, if it is not complete yet. The connection returns to the pool if the rest
+     * is short and arrives soon, and is closed otherwise. The listener receives no further calls.
+     */
+    public void discardRest() {
+        if (listener.isEmpty()) {
+            return;
+        }
+        if (!reusable) {
+            abort();
+            return;
+        }
+        Discarder discarder = new Discarder();
+        listener = Optional.of(discarder);
+        setReading(true);
+        channel.eventLoop().schedule(discarder::onTimeout, DISCARD_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     /** Returns the connection to the pool unused. */
     public void release() {
         connectionListener.onIdle(this);
@@ -234,4 +260,42 @@
                     BackendConnectionPool.maxReuseIdleMillis(1_000L * Long.parseLong(keepAlive.substring(from, to)));
         }
     }
+
+    private final class Discarder implements ResponseListener {
+        private int discardedBytes;
+        private boolean done;
+
+        private void onTimeout() {
+            if (!done) {
+                abort();
+            }
+        }
+
+        @Override
+        public Disposition onHead(HttpResponse head) {
+            return Disposition.ACCEPT;
+        }
+
+        @Override
+        public void onContent(ByteBuf content) {
+            discardedBytes += content.readableBytes();
+            if (discardedBytes > MAX_DISCARDED_BYTES) {
+                done = true;
+                abort();
+            }
+        }
+
+        @Override
+        public void onReadComplete() {}
+
+        @Override
+        public void onEnd() {
+            done = true;
+        }
+
+        @Override
+        public void onConnectionError(String cause) {
+            done = true;
+        }
+    }
 }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
@@ -169,9 +169,16 @@
 
     @Override
     public void onReadComplete() {
-        if (!ended) {
-            exchange.relay().flush();
+        if (ended) {
+            return;
+        }
+        if (declaredEnd.isPresent()) {
+            // The head settles the outcome, so the caller does not wait for the rest of the response.
+            connection.ifPresent(BackendConnection::discardRest);
+            end(declaredEnd.get(), "declared in the head");
+            return;
         }
+        exchange.relay().flush();
     }
 
     @Override
