Limit the bytes of a response that carry no body

The decoder limits a status line, a header block and the trailers, but neither 1xx responses, responses to other attempts and blank lines that repeat without end, nor chunk extensions, of which each chunk may have 4 KB. The caller of a request waited until its deadline and got 504; a stream went on, with megabytes read for each kilobyte forwarded.

BackendConnection now counts all bytes received for a request before they are decoded, and fails the response once they exceed 512 KiB and eight times the body delivered. A chunk of one byte takes six bytes, so that proper framing stays below. A 101 response, which no request asks for, fails at once. The decoder is a class of its own instead of HttpClientCodec, so that bytes that complete no message are seen too.

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/BackendConnection.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/BackendConnection.java
@@ -8,8 +8,10 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
@@ -24,6 +26,12 @@
 public final class BackendConnection extends ChannelInboundHandlerAdapter {
     private static final int FIRST_FINAL_STATUS_CODE = 200;
 
+    /** Room for a skipped response of the maximum size of a plain one, and for heads and trailers. */
+    private static final long MAX_OVERHEAD_BYTES = 512 * 1024;
+
+    /** A chunk of one byte takes six bytes. */
+    private static final long MAX_RECEIVED_PER_BODY_BYTE = 8;
+
     /** Bodies of refusals fit into one socket read of this size. */
     private static final int MAX_DISCARDED_BYTES = 16 * 1024;
 
@@ -51,6 +59,9 @@
     private long idleSinceNanos;
     private long serverIdleMillis;
     private int requestCount;
+    private long receivedBytes;
+    private long bodyBytes;
+    private boolean headRequest;
 
     BackendConnection(
             Channel channel,
@@ -70,6 +81,9 @@
         phase = Phase.HEAD;
         requestWritten = false;
         requestCount++;
+        receivedBytes = 0;
+        bodyBytes = 0;
+        headRequest = request.method().equals(HttpMethod.HEAD);
         writeFuture = channel.writeAndFlush(request);
         writeFuture.addListener(future -> {
             requestWritten = future.isSuccess();
@@ -118,6 +132,24 @@
         return requestCount;
     }
 
+    /** Returns whether responses have no body, whatever their head says. */
+    boolean awaitsHeadOnly() {
+        return headRequest;
+    }
+
+    /**
+     * Returns whether received bytes are to be decoded. Interim and skipped responses and chunk extensions may repeat without
+     * end, and none of them reaches the listener, so the bytes that are not part of a body are limited.
+     */
+    boolean acceptBytes(int count) {
+        receivedBytes += count;
+        if (receivedBytes > MAX_OVERHEAD_BYTES + MAX_RECEIVED_PER_BODY_BYTE * bodyBytes) {
+            fail("received " + receivedBytes + " bytes for a body of " + bodyBytes + " bytes");
+            return false;
+        }
+        return true;
+    }
+
     boolean isUsable(long maxIdleMillis) {
         long idleMillis = (clock.nanos() - idleSinceNanos) / 1_000_000;
         return channel.isActive() && reusable && idleMillis < Math.min(maxIdleMillis, serverIdleMillis);
@@ -175,6 +207,10 @@
 
     private void readHead(HttpResponse head) {
         if (head.status().code() < FIRST_FINAL_STATUS_CODE) {
+            if (head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+                fail("protocol switch that was not requested");
+                return;
+            }
             phase = Phase.INTERIM;
             return;
         }
@@ -202,6 +238,7 @@
         if (listener.isEmpty()) {
             return;
         }
+        bodyBytes += content.content().readableBytes();
         if (content.content().isReadable()) {
             listener.get().onContent(content.content());
         }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/BackendConnectionPool.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/BackendConnectionPool.java
@@ -7,8 +7,8 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -112,13 +112,12 @@
                                 .setMaxInitialLineLength(MAX_STATUS_LINE_BYTES)
                                 .setMaxHeaderSize(MAX_RESPONSE_HEADER_BYTES)
                                 .setMaxChunkSize(READ_CHUNK_BYTES);
-                        channel.pipeline().addLast(new HttpClientCodec(config, false, false));
+                        BackendConnection connection = new BackendConnection(
+                                channel, clock, endpoint, maxReuseIdleMillis(DEFAULT_SERVER_IDLE_TIMEOUT_MILLIS));
                         channel.pipeline()
-                                .addLast(new BackendConnection(
-                                        channel,
-                                        clock,
-                                        endpoint,
-                                        maxReuseIdleMillis(DEFAULT_SERVER_IDLE_TIMEOUT_MILLIS)));
+                                .addLast(new HttpRequestEncoder())
+                                .addLast(new BackendResponseDecoder(config, connection))
+                                .addLast(connection);
                     }
                 });
         bootstrap.connect(address.host(), address.port()).addListener(future -> {
