Close a pooled connection on which bytes arrive without a request

Bytes on an idle connection closed it only once they made a complete message. Blank lines, and a status line or header block without end, were read for as long as the server sent them. Worse, the decoder kept an incomplete head, and the next request on that connection got it: a response without an attempt id that began before the request was sent was delivered to the caller as its own.

BackendConnection now closes on any byte that arrives without a request, before it is decoded, and does not pool a connection whose decoder still holds bytes after the response.

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/BackendConnection.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/BackendConnection.java
@@ -142,6 +142,11 @@
      * end, and none of them reaches the listener, so the bytes that are not part of a body are limited.
      */
     boolean acceptBytes(int count) {
+        if (listener.isEmpty()) {
+            // The decoder would keep an incomplete message and give its rest to the next request.
+            close();
+            return false;
+        }
         receivedBytes += count;
         if (receivedBytes > MAX_OVERHEAD_BYTES + MAX_RECEIVED_PER_BODY_BYTE * bodyBytes) {
             fail("received " + receivedBytes + " bytes for a body of " + bodyBytes + " bytes");
@@ -258,7 +263,10 @@
         phase = Phase.HEAD;
         // If the response ended before the request was fully written, the rest of the request would precede the next
         // one.
-        boolean canReuse = reusable && requestWritten && channel.isActive();
+        boolean canReuse = reusable
+                && requestWritten
+                && channel.isActive()
+                && channel.pipeline().get(BackendResponseDecoder.class).undecodedBytes() == 0;
         if (canReuse) {
             // The caller of this response may still be reading slowly, which must not pause the connection's next use.
             setReading(true);
