--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/connection/BackendConnectionTest.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/connection/BackendConnectionTest.java
@@ -7,8 +7,9 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
@@ -22,10 +23,10 @@
     // unnoticed.
     @Test
     public void a_connection_whose_reading_was_paused_is_read_again_once_it_is_idle() {
-        EmbeddedChannel channel = new EmbeddedChannel(new HttpClientCodec());
+        EmbeddedChannel channel = new EmbeddedChannel(new HttpRequestEncoder());
         RecordingPool pool = new RecordingPool();
         BackendConnection connection = new BackendConnection(channel, MonotonicClock.system(), pool, 1_000);
-        channel.pipeline().addLast(connection);
+        channel.pipeline().addLast(new BackendResponseDecoder(new HttpDecoderConfig(), connection), connection);
         connection.send(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"), new IgnoringListener());
         connection.setReading(false);
 
