Let a second server take over only with an event or a complete response

What callers would see: an answer of the silent server, or a better one of the second server, is lost although the other of the two could have given it.

Cause: a head of the second server alone closed the connection to the silent one, any byte of the silent one withdrew the second, and whole responses without a body (304, 404) and error responses counted for neither.

Fix: the response of the second server is held back until it has an event or is complete, and only such a delivery decides between the two. An error response of the second server is kept for the case that no better one comes. Failed connection attempts beside an open attempt are limited, a silent attempt counts once against the health of its server, and a short wait that is ended by the gateway is no sample of a server's delay.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/request/ForwardingStateMachine.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/request/ForwardingStateMachine.java
@@ -75,7 +75,7 @@
         onAttemptEndBesideAnother(end);
         return switch (end) {
             case ANSWERED -> NextStep.DELIVER;
-            case NOT_CONNECTED -> ++failedConnects < MAX_FAILED_CONNECTS ? NextStep.RETRY : giveUp();
+            case NOT_CONNECTED -> failedConnects < MAX_FAILED_CONNECTS ? NextStep.RETRY : giveUp();
             case REFUSED, MISDIRECTED -> mayResend() ? NextStep.RETRY : giveUp();
             case BROKEN, SILENT -> mayRunAgain() ? NextStep.RETRY : giveUp();
             case SERVER_ERROR -> !responseStarted && mayRunAgain() ? NextStep.RETRY : NextStep.DELIVER;
@@ -87,11 +87,17 @@
         if (end.mayHaveRun()) {
             possibleRuns++;
         }
+        if (end == AttemptEnd.NOT_CONNECTED) {
+            failedConnects++;
+        }
     }
 
     /** Returns whether the route allows an attempt at a second server while one at a silent server is still open. */
     public boolean maySendBesideOpenAttempt() {
-        return route.repeatable() && possibleRuns + 1 < route.maxAttempts() && sendCount < MAX_SEND_ATTEMPTS;
+        return route.repeatable()
+                && possibleRuns + 1 < route.maxAttempts()
+                && sendCount < MAX_SEND_ATTEMPTS
+                && failedConnects < MAX_FAILED_CONNECTS;
     }
 
     /** Returns the next step if no backend server is available, or none becomes available in time. */
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/request/ForwardingStateMachineTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/request/ForwardingStateMachineTest.java
@@ -114,6 +114,25 @@
         assertEquals(machine.onAttemptEnd(AttemptEnd.BROKEN), ForwardingStateMachine.NextStep.FAIL);
     }
 
+    // Guards against sends and connection attempts without end while a server is silent.
+    @Test
+    public void sends_and_failed_connections_beside_an_open_attempt_are_limited() {
+        RouteSpec route = route(RequestKind.IDEMPOTENT, false, 9);
+        ForwardingStateMachine refused = new ForwardingStateMachine(route, () -> true);
+        for (int i = 0; i < ForwardingStateMachine.MAX_SEND_ATTEMPTS; i++) {
+            assertTrue(refused.maySendBesideOpenAttempt());
+            refused.onSent();
+            refused.onAttemptEndBesideAnother(AttemptEnd.REFUSED);
+        }
+        assertFalse(refused.maySendBesideOpenAttempt());
+        ForwardingStateMachine unreachable = new ForwardingStateMachine(route, () -> true);
+        for (int i = 0; i < ForwardingStateMachine.MAX_FAILED_CONNECTS; i++) {
+            assertTrue(unreachable.maySendBesideOpenAttempt());
+            unreachable.onAttemptEndBesideAnother(AttemptEnd.NOT_CONNECTED);
+        }
+        assertFalse(unreachable.maySendBesideOpenAttempt());
+    }
+
     @Test
     public void no_attempt_is_sent_beside_an_open_one_unless_the_route_allows_two_runs() {
         for (RouteSpec route : List.of(
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
@@ -27,6 +27,7 @@
     private final long startedMillis;
     private Optional<BackendConnection> connection = Optional.empty();
     private Optional<AttemptEnd> declaredEnd = Optional.empty();
+    private Optional<HeldResponse> held = Optional.empty();
     private Optional<Future<?>> silenceTimer = Optional.empty();
     private long lastReceivedMillis;
     private long firstByteMillis = -1;
@@ -57,9 +58,9 @@
         if (ended) {
             return;
         }
-        if (firstByteMillis < 0) {
+        if (firstByteMillis < 0 && elapsedMillis() > choice.predictedMillis()) {
             // Without this sample, a server that never answers before callers give up would keep its earlier low
-            // latency.
+            // latency. A shorter wait says nothing about the server.
             load.recordDelay(elapsedMillis() - choice.baselineMillis());
         }
         close();
@@ -83,6 +84,11 @@
         return connectRefused;
     }
 
+    /** Returns whether the attempt was silent for longer than its limit, which counted as a failure of the server. */
+    boolean wasSilent() {
+        return silenceReported;
+    }
+
     ServerEntry server() {
         return choice.server();
     }
@@ -137,20 +143,16 @@
             abort(AttemptEnd.BROKEN, "success response without the server's signature");
             return Disposition.ACCEPT;
         }
-        if (!success && exchange.isSuccessor(this)) {
-            // The silent attempt may still be answered, so this failure isn't the response of the request.
-            load.recordAnswer(true);
-            abort(AttemptEnd.SERVER_ERROR, "status " + status + " while another attempt is open");
-            return Disposition.ACCEPT;
-        }
         if (exchange.relay().started() && !success) {
             abort(AttemptEnd.BROKEN, "status " + status + " in place of the rest of the stream");
             return Disposition.ACCEPT;
         }
-        if (success) {
-            exchange.onProgress(this);
+        boolean stream = success && exchange.route().streaming();
+        if (exchange.isSuccessor(this)) {
+            held = Optional.of(new HeldResponse(head, stream));
+        } else {
+            exchange.relay().onHead(head, stream);
         }
-        exchange.relay().onHead(head, success && exchange.route().streaming());
         return Disposition.ACCEPT;
     }
 
@@ -161,9 +163,25 @@
             return;
         }
         onFirstByte();
-        exchange.onProgress(this);
+        if (held.isPresent()) {
+            if (held.get().add(content)) {
+                exchange.onDelivery(this);
+            }
+            return;
+        }
         if (exchange.relay().onContent(content)) {
             exchange.onResponseStarted();
+            exchange.onDelivery(this);
+        }
+    }
+
+    /** Passes what was held back of the response to the caller. Called when a successor becomes the current attempt. */
+    void becomeCurrent() {
+        Optional<HeldResponse> response = held;
+        held = Optional.empty();
+        if (response.isPresent() && response.get().replay(exchange.relay())) {
+            exchange.onResponseStarted();
+            exchange.relay().flush();
         }
     }
 
@@ -191,6 +209,9 @@
             return;
         }
         onFirstByte();
+        if (held.isPresent() && !endHeldResponse(held.get())) {
+            return;
+        }
         if (!exchange.relay().onEnd()) {
             end(AttemptEnd.BROKEN, "stream ended in the middle of an event");
             return;
@@ -198,6 +219,7 @@
         boolean failed = exchange.relay().status() >= FIRST_SERVER_ERROR_STATUS;
         load.recordAnswer(failed);
         if (!failed) {
+            exchange.onDelivery(this);
             exchange.context().chooser().succeeded(exchange.service(), server().id(), unexplainedLatencyMillis());
             exchange.context().crashLedger().requestAnswered(exchange.fingerprint());
         }
@@ -206,6 +228,22 @@
                 "status " + exchange.relay().status());
     }
 
+    /** Ends the complete response of a successor and returns whether it is delivered to the caller. */
+    private boolean endHeldResponse(HeldResponse response) {
+        if (response.endsWithinEvent()) {
+            end(AttemptEnd.BROKEN, "stream ended in the middle of an event");
+            return false;
+        }
+        if (response.status() >= FIRST_SERVER_ERROR_STATUS) {
+            load.recordAnswer(true);
+            exchange.holdFailure(response);
+            end(AttemptEnd.SERVER_ERROR, "status " + response.status());
+            return false;
+        }
+        exchange.onDelivery(this);
+        return true;
+    }
+
     @Override
     public void onConnectionError(String cause) {
         end(declaredEnd.orElse(AttemptEnd.BROKEN), cause + (headReceived ? " after the head" : " before any answer"));
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Exchange.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Exchange.java
@@ -36,9 +36,9 @@
 /**
  * One caller's request, from its arrival to the end of its response. Runs on the traffic thread.
  *
- * <p>The current attempt provides the response. While it is silent, a successor may be sent to another server. The first of the
- * two that delivers data becomes or stays current and the other is withdrawn, so that a silent attempt is given up only once
- * another has taken over.
+ * <p>The current attempt provides the response. While it is silent, a successor may be sent to another server. Its response is
+ * held back until it has an event or is complete. The first of the two that delivers so much becomes or stays current and the
+ * other is withdrawn, so that a silent attempt is given up only once another has taken over.
  */
 public final class Exchange implements RequestHandler.InFlightRequest {
     private static final Logger log = LoggerFactory.getLogger(Exchange.class);
@@ -73,6 +73,7 @@
     private long fingerprint;
     private Optional<Attempt> currentAttempt = Optional.empty();
     private Optional<Attempt> successor = Optional.empty();
+    private Optional<HeldResponse> heldFailure = Optional.empty();
     private Optional<Future<?>> deadlineTimer = Optional.empty();
     private int residencyWaits;
     private long lastRetryAfterMillis;
@@ -232,7 +233,8 @@
     void onAttemptEnd(Attempt attempt, AttemptEnd end, String cause) {
         triedServerIds.add(attempt.server().id());
         logAttempt(attempt, end.name(), cause);
-        if (end == AttemptEnd.NOT_CONNECTED || end == AttemptEnd.BROKEN) {
+        boolean serverFailed = end == AttemptEnd.NOT_CONNECTED || end == AttemptEnd.BROKEN;
+        if (serverFailed && !attempt.wasSilent()) {
             context.chooser().failed(service, attempt.server().id());
         }
         if (end == AttemptEnd.NOT_CONNECTED && attempt.connectRefused()) {
@@ -251,9 +253,11 @@
             lastRetryAfterMillis = context.timeouts().overloadRetryAfterMillis();
         }
         if (successor.isPresent()) {
-            currentAttempt = isSuccessor(attempt) ? currentAttempt : successor;
-            successor = Optional.empty();
             machine.onAttemptEndBesideAnother(end);
+            Attempt other = isSuccessor(attempt) ? currentAttempt.orElseThrow() : successor.get();
+            currentAttempt = Optional.of(other);
+            successor = Optional.empty();
+            other.becomeCurrent();
             return;
         }
         currentAttempt = Optional.empty();
@@ -264,8 +268,13 @@
         return successor.filter(attempt::equals).isPresent();
     }
 
-    /** Called when an attempt receives data of a response that can be delivered. The attempt becomes or stays current. */
-    void onProgress(Attempt attempt) {
+    /** Keeps the error response of a successor for the case that no attempt provides a better one. */
+    void holdFailure(HeldResponse response) {
+        heldFailure = Optional.of(response);
+    }
+
+    /** Called when an attempt has an event or a complete response for the caller. The attempt becomes or stays current. */
+    void onDelivery(Attempt attempt) {
         if (successor.isEmpty()) {
             return;
         }
@@ -279,6 +288,7 @@
         other.abandon();
         if (takesOver) {
             logAttempt(other, AttemptEnd.SILENT.name(), "another server took over");
+            attempt.becomeCurrent();
         } else {
             logAttempt(other, "ABANDONED", "the silent server went on");
         }
@@ -375,6 +385,10 @@
     }
 
     private void fail(HttpResponseStatus status, String reason) {
+        if (!relay.started() && !relay.holdsCompleteResponse() && heldFailure.isPresent()) {
+            heldFailure.get().replay(relay);
+            relay.onEnd();
+        }
         if (relay.holdsCompleteResponse()) {
             // An error response of a backend server tells the caller more than one of the gateway.
             relay.completeResponse();
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ExchangeTimeouts.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ExchangeTimeouts.java
@@ -6,9 +6,9 @@
  * @param maxResidencyWaitMillis maximum time for which a request waits for a model or adapter to be loaded
  * @param nonRepeatableMaxIdleMillis maximum idle time of a pooled connection that may carry a non-repeatable request
  * @param firstByteTargetFactor multiple of the route's latency target after which an attempt at a repeatable request without a
- *     first byte is given up
- * @param minSilenceMillis minimum time without data before an attempt is given up
- * @param stallFactor multiple of the route's longest pause after which an attempt that stalls after its first byte is given up
+ *     first byte counts as silent
+ * @param minSilenceMillis minimum time without data before an attempt counts as silent
+ * @param stallFactor multiple of the route's longest pause after which an attempt that stalls after its first byte counts as silent
  * @param overloadRetryAfterMillis base of the Retry-After value when a server refused the request
  * @param modelLoadRetryAfterMillis base of the Retry-After value when a model or the configuration is not available yet
  */
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ResponseRelay.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ResponseRelay.java
@@ -17,7 +17,7 @@
  */
 final class ResponseRelay {
     /** Plain responses are some KB; a hundred incomplete ones of this size fit a heap of 128 MiB. */
-    private static final int MAX_PLAIN_BODY_BYTES = 256 * 1024;
+    static final int MAX_PLAIN_BODY_BYTES = 256 * 1024;
 
     private final ResponseSink sink;
     private final boolean resumable;
