Apply a lowered body limit to the next request only

A caller whose request was allowed when it began got 413 in the middle of its body when a new configuration lowered the limit.

The limit was read again for each part of a body. The limit at the head of a request now stays valid for it, and a raised one applies at once.

Before the fix a_lower_body_limit_applies_to_the_next_request failed with "not seen: request 0".

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/CallerConnection.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/CallerConnection.java
@@ -52,6 +52,7 @@
     private Optional<RequestHandler.InFlightRequest> inFlight = Optional.empty();
     private Optional<HttpRequest> incomingHead = Optional.empty();
     private ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private int maxIncomingBodyBytes;
     private long headReceivedNanos;
     private long lastActivityNanos;
     private long lastOutputNanos;
@@ -199,7 +200,8 @@
         incomingHead = Optional.of(head);
         headReceivedNanos = clock.nanos();
         body = new ByteArrayOutputStream();
-        if (HttpUtil.getContentLength(head, 0L) > limits.get().maxBodyBytes()) {
+        maxIncomingBodyBytes = limits.get().maxBodyBytes();
+        if (HttpUtil.getContentLength(head, 0L) > maxIncomingBodyBytes) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
         }
@@ -228,7 +230,9 @@
 
     private void readContent(HttpContent content) {
         ByteBuf bytes = content.content();
-        if (body.size() + bytes.readableBytes() > limits.get().maxBodyBytes()) {
+        // A limit that is lowered meanwhile does not apply to a request whose head was accepted.
+        maxIncomingBodyBytes = Math.max(maxIncomingBodyBytes, limits.get().maxBodyBytes());
+        if (body.size() + bytes.readableBytes() > maxIncomingBodyBytes) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
         }
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/connection/CallerServerTest.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/connection/CallerServerTest.java
@@ -33,13 +33,15 @@
     private CallerServer server;
     private int port;
     private volatile boolean leaving;
+    private volatile ClientLimits limits;
 
     @BeforeMethod
     public void start() {
         sinks.clear();
         leaving = false;
+        limits = LIMITS;
         group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        server = new CallerServer(group, nowNanos::get, () -> LIMITS, () -> leaving, (request, sink) -> {
+        server = new CallerServer(group, nowNanos::get, () -> limits, () -> leaving, (request, sink) -> {
             sinks.add(sink);
             return new UnansweredRequest();
         });
@@ -170,6 +172,24 @@
         }
     }
 
+    // Guards against a limit that is lowered while a request is received and cuts that request.
+    @Test
+    public void a_lower_body_limit_applies_to_the_next_request() throws IOException {
+        try (SlowCaller caller = new SlowCaller(port)) {
+            caller.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 900\r\nExpect: 100-continue\r\n\r\n");
+            caller.read("HTTP/1.1 100 Continue\r\n\r\n".length());
+            limits = new ClientLimits(4_096, 100, 400, 1_000);
+            caller.send("b".repeat(900));
+            respond(0, new byte[] {'a'});
+            caller.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 900\r\n\r\n");
+            List<String> statusLines = caller.readAll()
+                    .lines()
+                    .filter(line -> line.contains("HTTP/1.1"))
+                    .toList();
+            assertEquals(statusLines, List.of("HTTP/1.1 200 OK", "aHTTP/1.1 413 Request Entity Too Large"));
+        }
+    }
+
     private void advanceAndCheckTimeouts(long millis) {
         nowNanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(millis));
         onLoop(server::enforceTimeouts);
