Read on after a rejection so that its response arrives

A caller that still sent its body when the request was rejected, for instance with 413, got a reset connection in place of the response. The reset also discarded the end of an earlier response that the caller had not read yet.

The connection was closed right after the response. Closing a socket with unread data sends a reset, which discards what the peer has not read.

After a rejection only the output is shut down. The rest of the request is read and discarded until the caller closes, for two seconds at most.

The test of the time limit passed before and after.

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/CallerConnection.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/CallerConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -41,6 +42,12 @@
     /** Maximum number of pipelined requests that wait behind the one being served. */
     private static final int MAX_PIPELINED_REQUESTS = 32;
 
+    /**
+     * Time for which the rest of a rejected request is read. Closing with unread data resets the connection, which discards a
+     * response that the caller has not read. Two seconds cover some round trips and one retransmission.
+     */
+    static final long LINGER_MILLIS = 2_000;
+
     private static final Logger log = LoggerFactory.getLogger(CallerConnection.class);
 
     private final Channel channel;
@@ -61,6 +68,8 @@
     private Optional<HttpResponseStatus> rejection = Optional.empty();
     private boolean responding;
     private boolean closing;
+    private boolean lingering;
+    private long lingerStartedNanos;
     private long headStartedNanos;
     private boolean readingHead;
 
@@ -87,6 +96,12 @@
         if (responding || !pipelined.isEmpty()) {
             return;
         }
+        if (lingering) {
+            if (millisSince(lingerStartedNanos) > LINGER_MILLIS) {
+                channel.close();
+            }
+            return;
+        }
         ClientLimits current = limits.get();
         if (isWriting()) {
             if (millisSince(lastOutputNanos) > current.idleTimeoutMillis()) {
@@ -123,7 +138,7 @@
      * the node is leaving.
      */
     void closeWhenIdle() {
-        if (!isIdle()) {
+        if (!isIdle() || lingering) {
             return;
         }
         if (!isWriting()) {
@@ -280,7 +295,14 @@
                 status.code());
         DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, "close");
-        channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        channel.writeAndFlush(response).addListener(written -> linger());
+    }
+
+    /** Ends the output. The connection closes when the caller closes it, or after a limited time. */
+    private void linger() {
+        lingering = true;
+        lingerStartedNanos = clock.nanos();
+        ((DuplexChannel) channel).shutdownOutput();
     }
 
     private static HttpResponseStatus statusFor(Throwable cause) {
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/connection/CallerServerTest.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/connection/CallerServerTest.java
@@ -190,6 +190,27 @@
         }
     }
 
+    // Guards against a reset, which discards the response, while the caller still sends the body.
+    @Test
+    public void the_response_to_a_rejected_request_reaches_a_caller_that_still_sends() throws IOException {
+        try (SlowCaller caller = new SlowCaller(port)) {
+            caller.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: " + LARGE_BODY.length + "\r\n\r\n");
+            caller.send("b".repeat(LARGE_BODY.length));
+            assertTrue(caller.readAll().startsWith("HTTP/1.1 413 "));
+        }
+    }
+
+    // Guards against a caller that sends a rejected body without end.
+    @Test
+    public void the_body_of_a_rejected_request_is_read_for_a_limited_time() throws IOException {
+        try (SlowCaller caller = new SlowCaller(port)) {
+            caller.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: " + LARGE_BODY.length + "\r\n\r\n");
+            assertTrue(caller.readAll().startsWith("HTTP/1.1 413 "));
+            advanceAndCheckTimeouts(CallerConnection.LINGER_MILLIS + 1);
+            await("the end of the connection", () -> !server.hasConnections());
+        }
+    }
+
     private void advanceAndCheckTimeouts(long millis) {
         nowNanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(millis));
         onLoop(server::enforceTimeouts);
