Limit an incomplete event of a resumable stream to 64 KiB

One event of a resumable stream could take 1 MiB before its stream was given up, so that a hundred streams with an event without end, read at the same time, could fill the heap of a node. An event carries a few tokens; 64 KiB stay far above that.

The new case of EventSplitterTest failed before the change: "expected [true] but found [false]".

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/request/EventSplitter.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/request/EventSplitter.java
@@ -10,8 +10,8 @@
  * be resumed after the last complete event.
  */
 public final class EventSplitter {
-    /** Limit of one event; input with a longer event is not treated as an event stream. */
-    static final int MAX_EVENT_BYTES = 1024 * 1024;
+    /** Events carry a few tokens. A node relays many streams, and each may hold an incomplete event. */
+    static final int MAX_EVENT_BYTES = 64 * 1024;
 
     private static final String ID_FIELD = "id:";
 
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/request/EventSplitterTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/request/EventSplitterTest.java
@@ -47,4 +47,10 @@
             splitter.add(chunk);
         }
     }
+
+    // Guards against a limit that lets the incomplete events of a thousand streams fill a heap of 128 MiB.
+    @Test
+    public void the_incomplete_events_of_a_thousand_streams_fit_the_heap() {
+        assertTrue(1_000L * EventSplitter.MAX_EVENT_BYTES < 128L * 1024 * 1024);
+    }
 }
