--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/PooledHttpClient.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/PooledHttpClient.java
@@ -22,8 +22,6 @@
 
 /** HTTP client for the interfaces of the platform and of runners. Buffers each response and limits the time of each call. */
 public final class PooledHttpClient {
-    private static final int MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
-
     private static final String STEP = "call";
 
     /**
@@ -31,6 +29,7 @@
      *
      * @param step name of the call in error messages
      * @param maxIdleMillis maximum time for which a reused connection may have been idle
+     * @param maxResponseBytes maximum size of the response's body; a larger one fails the call
      */
     public record Call(
             PeerAddress address,
@@ -41,6 +40,7 @@
             byte[] body,
             long timeoutMillis,
             long maxIdleMillis,
+            int maxResponseBytes,
             String step) {}
 
     /** A complete response. */
@@ -113,13 +113,14 @@
 
         @Override
         public void onContent(ByteBuf content) {
+            if (body.size() + content.readableBytes() > call.maxResponseBytes()) {
+                connection.abort();
+                fail(Outcome.UNKNOWN, "response larger than " + call.maxResponseBytes() + " bytes");
+                return;
+            }
             byte[] bytes = new byte[content.readableBytes()];
             content.readBytes(bytes);
             body.writeBytes(bytes);
-            if (body.size() > MAX_RESPONSE_BYTES) {
-                connection.abort();
-                fail(Outcome.UNKNOWN, "response larger than " + MAX_RESPONSE_BYTES + " bytes");
-            }
         }
 
         @Override
