--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/process/GracefulShutdownTest.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/process/GracefulShutdownTest.java
@@ -49,7 +49,7 @@
         group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         shutdown = new GracefulShutdown(GRACE_MILLIS, this::readClock, () -> {});
         ClientLimits limits = ClientLimits.INITIAL;
-        server = new CallerServer(group, System::nanoTime, () -> limits, shutdown::leaving, (request, sink) -> {
+        server = new CallerServer(group, () -> 0L, () -> limits, shutdown::leaving, (request, sink) -> {
             sinks.add(shutdown.countInFlight(sink));
             return new UnansweredRequest();
         });
