Refuse a queued request whose model was removed

Callers would see: after a catalogue change that removed a model with a queued request at a node, other requests of the pool failed with model_not_found, a response that ended in the meantime lost its last frame, and from the first periodic tick on the node no longer dispatched or expired queued requests of any pool.

Cause: the queue asks Router.hasRoom for each waiting entry, and that threw MODEL_NOT_FOUND for an entry that the catalogue lacks. The exception left dispatchPending, which runs in the arrival of other requests, at the end of other attempts, inside their response stream, and in the tick, where the scheduler stops repeating a task that throws.

Evidence: before the fix a_queued_request_of_a_removed_model_is_refused_and_others_are_dispatched failed in the tick with "model 'first' is not in catalogue version 1", and an_error_in_a_dispatch_does_not_reach_the_end_of_an_attempt_or_a_tick failed in onAttemptEnd with "no saturation". Both pass with it.

The fix: an entry that is not in the catalogue counts as dispatchable, so its requests leave the queue and fail alone with the error of the route. A request whose dispatch throws gives back its ticket and fails. dispatchPending logs an unexpected error instead of throwing it into an answer or into the scheduler.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/request/Router.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/request/Router.java
@@ -170,9 +170,16 @@
         return false;
     }
 
-    /** Returns whether a runner of the entry has a short enough queue to take a request now. */
+    /**
+     * Returns whether a runner of the entry has a short enough queue to take a request now. Also returns true for an
+     * entry that the catalogue lacks, so that its requests leave the queue and are refused by {@link #route}.
+     */
     public boolean hasRoom(String entry) {
-        for (Candidate candidate : candidatesWithoutPrompt(inputs.view().get(), entry)) {
+        RoutingView view = inputs.view().get();
+        if (!view.catalogue().models().containsKey(entry)) {
+            return true;
+        }
+        for (Candidate candidate : candidatesWithoutPrompt(view, entry)) {
             if (hasRoom(candidate)) {
                 return true;
             }
--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/PoolDispatcher.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/PoolDispatcher.java
@@ -111,13 +111,18 @@
                 : deadlineNanos;
     }
 
-    /** Dispatches on one thread at a time. A concurrent call makes the dispatching thread run another pass. */
+    /**
+     * Dispatches on one thread at a time. A concurrent call makes the dispatching thread run another pass. Never throws:
+     * an exception would end the attempt whose end triggered the pass, or stop the periodic ticks.
+     */
     private void dispatchPending() {
         dispatchRequested.set(true);
         while (dispatchRequested.get() && dispatching.compareAndSet(false, true)) {
             try {
                 dispatchRequested.set(false);
                 dispatchPass();
+            } catch (RuntimeException e) {
+                log.error("dispatch of pool '{}' failed; the next tick tries again", pool, e);
             } finally {
                 dispatching.set(false);
             }
@@ -135,7 +140,17 @@
                 queue.finished(next.get());
                 continue;
             }
-            dispatch(next.get(), pending);
+            dispatchOrFail(next.get(), pending);
+        }
+    }
+
+    /** Dispatches a request, or fails it if that throws, for example because its entry left the catalogue. */
+    private void dispatchOrFail(QueueTicket ticket, PendingRequest pending) {
+        try {
+            dispatch(ticket, pending);
+        } catch (RuntimeException e) {
+            queue.finished(ticket);
+            pending.result().completeExceptionally(e);
         }
     }
 
