Let a retry wait for a server instead of admitting it again

Callers would see: a stream that had begun ended with an error event (owner_limit_reached, overloaded or no_backend_server) after its backend server broke, although another server could resume it at once or within its deadline. Calls of services failed the same way.

Cause: a retry entered the queue of its pool like a new request. The token and queue limits of the owner, the limits of the queue and the check for a runner with a recent report refused it, and a new request of a higher priority could displace it.

The queue test covers the new method.

The fix: AdmissionQueue.offerAdmitted queues a request that was admitted before, without the limits on new requests and safe from displacement. The dispatcher uses it for retries and for requests that could not be sent to the chosen server. A retry without a server tries again until the queue ends it at its deadline.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/request/AdmissionQueue.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/request/AdmissionQueue.java
@@ -88,7 +88,7 @@
                 throw overloaded(verdict.reason(), verdict.retryAfterMillis());
             }
             makeRoom(request, displaced);
-            ticket = new QueueTicket(queued, nextNumber++);
+            ticket = new QueueTicket(queued, nextNumber++, true);
             insert(ticket);
         } finally {
             lock.unlock();
@@ -104,6 +104,22 @@
         return ticket;
     }
 
+    /**
+     * Adds a request that was admitted before: a retry, or a request that could not be sent to the server chosen for it.
+     * The limits on new requests do not apply, and new requests do not displace it, because a refusal would end a request
+     * whose response the caller may have received in part.
+     */
+    public QueueTicket offerAdmitted(QueuedRequest queued) {
+        lock.lock();
+        try {
+            QueueTicket ticket = new QueueTicket(queued, nextNumber++, false);
+            insert(ticket);
+            return ticket;
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /**
      * Commits and returns the next request that may be dispatched now. Drops requests whose commit fails, because they
      * were cancelled or timed out while waiting.
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/request/PriorityLevel.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/request/PriorityLevel.java
@@ -98,8 +98,8 @@
     }
 
     /**
-     * Returns the ticket to displace, the one with the latest first-token deadline of the owner with the most waiting
-     * requests per weight; null if no owner exceeds the minimum.
+     * Returns the ticket to displace, the displaceable one with the latest first-token deadline of the owner with the most
+     * waiting requests per weight; null if no owner exceeds the minimum or that owner has no displaceable ticket.
      *
      * @param minRequestsPerWeight requests per weight that the owner must exceed
      */
@@ -113,7 +113,7 @@
                 heaviest = owner;
             }
         }
-        return heaviest == null ? null : heaviest.latest();
+        return heaviest == null ? null : heaviest.latestDisplaceable();
     }
 
     private static final class OwnerQueue {
@@ -160,15 +160,26 @@
             return earliest;
         }
 
-        private QueueTicket latest() {
+        private QueueTicket latestDisplaceable() {
             QueueTicket latest = null;
             for (TreeSet<QueueTicket> tickets : ticketsByEntry.values()) {
-                QueueTicket last = tickets.last();
-                if (latest == null || QueueTicket.BY_FIRST_TOKEN_DEADLINE.compare(last, latest) > 0) {
+                QueueTicket last = lastDisplaceable(tickets);
+                boolean later = latest == null
+                        || (last != null && QueueTicket.BY_FIRST_TOKEN_DEADLINE.compare(last, latest) > 0);
+                if (later) {
                     latest = last;
                 }
             }
             return latest;
         }
+
+        private static QueueTicket lastDisplaceable(TreeSet<QueueTicket> tickets) {
+            for (QueueTicket ticket : tickets.descendingSet()) {
+                if (ticket.displaceable()) {
+                    return ticket;
+                }
+            }
+            return null;
+        }
     }
 }
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/request/QueueTicket.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/request/QueueTicket.java
@@ -14,12 +14,14 @@
 
     private final QueuedRequest queued;
     private final long number;
+    private final boolean displaceable;
     /** Guarded by the lock of the queue. */
     private State state = State.WAITING;
 
-    QueueTicket(QueuedRequest queued, long number) {
+    QueueTicket(QueuedRequest queued, long number, boolean displaceable) {
         this.queued = queued;
         this.number = number;
+        this.displaceable = displaceable;
     }
 
     public AdmissionRequest request() {
@@ -31,6 +33,11 @@
         return queued;
     }
 
+    /** Returns whether a new request may displace this one from a full queue. */
+    boolean displaceable() {
+        return displaceable;
+    }
+
     State state() {
         return state;
     }
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/request/AdmissionQueueTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/request/AdmissionQueueTest.java
@@ -90,6 +90,21 @@
         assertThrows(AgatehatchException.class, () -> small.offer(fixture.request("mason", 5, 500), IDLE));
     }
 
+    /** Guards against retries that a full queue or the limit of their owner refuses, which ends a response in the middle. */
+    @Test
+    public void an_admitted_request_is_neither_refused_nor_displaced() {
+        fixture.owner(new Owner("limited", 1, 1, 0));
+        AdmissionQueue small = fixture.queue(1);
+        small.offerAdmitted(fixture.request("limited", 10, 500));
+        small.offerAdmitted(fixture.request("limited", 10, 900));
+        assertEquals(small.waitingRequests(), 2);
+
+        assertThrows(AgatehatchException.class, () -> small.offer(fixture.request("mason", 90, 500), IDLE));
+
+        assertEquals(fixture.refusals.size(), 0);
+        assertEquals(small.waitingRequests(), 2);
+    }
+
     @Test
     public void a_queue_filled_by_one_owner_makes_room_for_another_owner() {
         AdmissionQueue small = fixture.queue(10);
--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/PoolDispatcher.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/PoolDispatcher.java
@@ -53,6 +53,10 @@
     public CompletionStage<ChosenBackend> choose(RequestContext request, Set<String> tried, AttemptState attemptState) {
         PendingRequest pending =
                 new PendingRequest(request, tried, !tried.isEmpty(), attemptState, new CompletableFuture<>());
+        if (pending.previouslySent()) {
+            requeue(pending);
+            return pending.result();
+        }
         try {
             offer(pending);
         } catch (AgatehatchException e) {
@@ -73,6 +77,25 @@
     }
 
     private void offer(PendingRequest pending) {
+        RequestContext request = pending.request();
+        QueuedRequest queued = register(pending);
+        try {
+            queue.offer(
+                    queued, request.forModel() ? router.load(routeRequest(pending, Set.of())) : context.serviceLoad());
+        } catch (AgatehatchException e) {
+            waiting.remove(queued);
+            throw e;
+        }
+    }
+
+    /** Queues a request again that was admitted before, and dispatches it unless its deadline has passed. */
+    private void requeue(PendingRequest pending) {
+        queue.offerAdmitted(register(pending));
+        queue.expire();
+        dispatchPending();
+    }
+
+    private QueuedRequest register(PendingRequest pending) {
         RequestContext request = pending.request();
         AdmissionRequest admission = new AdmissionRequest(
                 request.entry(),
@@ -89,13 +112,7 @@
         // Registered before it is queued, because another thread may poll it from the queue immediately.
         waiting.put(queued, pending);
         pending.result().whenComplete((chosen, failure) -> waiting.remove(queued));
-        try {
-            queue.offer(
-                    queued, request.forModel() ? router.load(routeRequest(pending, Set.of())) : context.serviceLoad());
-        } catch (AgatehatchException e) {
-            waiting.remove(queued);
-            throw e;
-        }
+        return queued;
     }
 
     /**
@@ -160,12 +177,18 @@
 
     private void dispatch(QueueTicket ticket, PendingRequest pending) {
         RoutingResult route = route(pending);
-        if (log.isInfoEnabled()) {
+        // A request that waits for a server tries many times a second, and only its first and last decision are of
+        // interest.
+        boolean waitsAgain = route.decision().isEmpty()
+                && pending.previouslySent()
+                && pending.tried().isEmpty();
+        if (log.isInfoEnabled() && !waitsAgain) {
             log.info("request={} pool={} {}", pending.request().requestId(), pool, route.logLine());
         }
-        if (route.decision().isEmpty() && !pending.tried().isEmpty()) {
-            // An attempt failed at every candidate. A candidate may have recovered, or a new replica be ready, at the
-            // retry.
+        if (route.decision().isEmpty() && pending.previouslySent()) {
+            // An attempt failed at every candidate. Until the deadline of the response, a candidate may recover or a
+            // new
+            // replica become ready.
             queue.finished(ticket);
             context.scheduleRetry(() -> requeue(pending.withoutTriedServers()));
             return;
@@ -196,15 +219,6 @@
         }
     }
 
-    private void requeue(PendingRequest pending) {
-        try {
-            offer(pending);
-            dispatchPending();
-        } catch (AgatehatchException e) {
-            pending.result().completeExceptionally(e);
-        }
-    }
-
     private RoutingResult route(PendingRequest pending) {
         RequestContext request = pending.request();
         RoutingRequest routingRequest = routingRequest(request);
--- a/agatehatch-daemon/src/test/java/org/agatehatch/daemon/traffic/DispatcherFixture.java
+++ b/agatehatch-daemon/src/test/java/org/agatehatch/daemon/traffic/DispatcherFixture.java
@@ -13,6 +13,7 @@
 import org.agatehatch.api.catalogue.ModelEntry;
 import org.agatehatch.api.catalogue.Owner;
 import org.agatehatch.api.catalogue.RequestClass;
+import org.agatehatch.api.catalogue.ServiceEntry;
 import org.agatehatch.api.engine.LoadReport;
 import org.agatehatch.api.routing.AdmissionPolicy;
 import org.agatehatch.api.routing.Candidate;
@@ -20,6 +21,7 @@
 import org.agatehatch.api.routing.FirstTokenModel;
 import org.agatehatch.internal.connection.BackendServerHealth;
 import org.agatehatch.internal.connection.EjectionPolicy;
+import org.agatehatch.internal.connection.LeavingSource;
 import org.agatehatch.internal.connection.PrefixIndex;
 import org.agatehatch.internal.connection.RunnerLoadTracker;
 import org.agatehatch.internal.connection.RunnerLoadTrackers;
@@ -41,6 +43,7 @@
 final class DispatcherFixture implements PoolContext {
     static final String FIRST_MODEL = "first";
     static final String SECOND_MODEL = "second";
+    static final String SERVICE = "desk";
     static final String RUNNER = "r0";
     static final String OTHER_RUNNER = "r1";
     static final String OWNER = "owner";
@@ -51,9 +54,8 @@
     private static final double MAX_ENGINE_QUEUE_MILLIS = 200;
 
     long nowNanos;
-    int maxQueuedRequests = 100;
     long maxTokensPerSecond;
-    PoisonRequestTable.Verdict verdict = new PoisonRequestTable.Verdict.Allowed();
+    boolean isModelPool = true;
     boolean saturationFails;
     final Queue<Runnable> retries = new ArrayDeque<>();
     final Map<String, List<String>> runnersByModel = new HashMap<>();
@@ -119,6 +121,11 @@
         runnersByModel.remove(model);
     }
 
+    void setLeaving(boolean leaving) {
+        health.setLeaving(RUNNER, LeavingSource.VM_LIST, leaving);
+        health.setLeaving(OTHER_RUNNER, LeavingSource.VM_LIST, leaving);
+    }
+
     void advanceMillis(long millis) {
         nowNanos += millis * 1_000_000;
     }
@@ -126,7 +133,7 @@
     private RequestContext request(String model) {
         return new RequestContext(
                 "req-1",
-                true,
+                isModelPool,
                 model,
                 POOL,
                 Optional.of(model),
@@ -153,14 +160,16 @@
             servers.put(
                     runner, new BackendServer(runner, "127.0.0.1:1", "domain", "region", POOL, OWNER, 1, 65_536, true));
         }
-        Owner owner = new Owner(OWNER, 1, maxQueuedRequests, maxTokensPerSecond);
-        Catalogue catalogue = new Catalogue(1, Map.of(), Map.of(OWNER, owner), Map.of(), servers, models, Map.of());
+        ServiceEntry service = new ServiceEntry(SERVICE, OWNER, "class", POOL, Set.of("GET"), 1_000);
+        Owner owner = new Owner(OWNER, 1, 100, maxTokensPerSecond);
+        Catalogue catalogue =
+                new Catalogue(1, Map.of(), Map.of(OWNER, owner), Map.of(), servers, models, Map.of(SERVICE, service));
         return new RoutingView(catalogue, Map.of(), Map.copyOf(runnersByModel), Map.of(), Set.of());
     }
 
     @Override
     public boolean isModelPool() {
-        return true;
+        return isModelPool;
     }
 
     @Override
@@ -183,7 +192,7 @@
 
     @Override
     public PoisonRequestTable.Verdict suspicion(long fingerprint, String backendServer) {
-        return verdict;
+        return new PoisonRequestTable.Verdict.Allowed();
     }
 
     @Override
--- a/agatehatch-daemon/src/test/java/org/agatehatch/daemon/traffic/ModelPoolDispatcherTest.java
+++ b/agatehatch-daemon/src/test/java/org/agatehatch/daemon/traffic/ModelPoolDispatcherTest.java
@@ -1,12 +1,17 @@
 package org.agatehatch.daemon.traffic;
 
 import static org.agatehatch.daemon.traffic.DispatcherFixture.FIRST_MODEL;
+import static org.agatehatch.daemon.traffic.DispatcherFixture.OTHER_RUNNER;
+import static org.agatehatch.daemon.traffic.DispatcherFixture.OWNER;
+import static org.agatehatch.daemon.traffic.DispatcherFixture.RUNNER;
 import static org.agatehatch.daemon.traffic.DispatcherFixture.SECOND_MODEL;
+import static org.agatehatch.daemon.traffic.DispatcherFixture.SERVICE;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -20,6 +25,9 @@
     /** Queue of a runner that gets no further requests: half a second at the prefill rate of the fixture. */
     private static final long FULL_RUNNER_TOKENS = 5_000;
 
+    /** Age above which a load report does not count: 5 s, plus 1 ms. */
+    private static final long STALE_REPORT_MILLIS = 5_001;
+
     private DispatcherFixture fixture;
     private PoolDispatcher dispatcher;
 
@@ -61,6 +69,66 @@
         assertTrue(waiting.isDone());
     }
 
+    /** Guards against a response that ends in the middle because its owner reached a limit for new requests. */
+    @Test
+    public void a_retry_is_dispatched_although_its_owner_is_above_its_limits() {
+        fixture.maxTokensPerSecond = 1;
+        fixture.usage.recordUsage(OWNER, 0, 1_000_000);
+        fixture.advanceMillis(1_000);
+        assertEquals(errorOf(fixture.choose(dispatcher, FIRST_MODEL, NONE)).code(), ErrorCode.OWNER_LIMIT_REACHED);
+
+        CompletableFuture<ChosenBackend> retry = fixture.choose(dispatcher, FIRST_MODEL, Set.of(RUNNER));
+
+        assertEquals(retry.join().server().name(), OTHER_RUNNER);
+    }
+
+    /** Guards against a response that ends in the middle although a replica becomes ready before its deadline. */
+    @Test
+    public void a_retry_waits_for_a_replica_although_no_runner_has_the_model() {
+        fixture.advanceMillis(DispatcherFixture.FIRST_TOKEN_MILLIS + STALE_REPORT_MILLIS);
+        fixture.runnersByModel.put(FIRST_MODEL, List.of());
+        CompletableFuture<ChosenBackend> retry = fixture.choose(dispatcher, FIRST_MODEL, Set.of(RUNNER));
+        dispatcher.tick();
+        assertFalse(retry.isDone());
+
+        fixture.runnersByModel.put(FIRST_MODEL, List.of(OTHER_RUNNER));
+        dispatcher.tick();
+
+        assertEquals(retry.join().server().name(), OTHER_RUNNER);
+    }
+
+    /** Guards against a retry of a service that fails as soon as all servers are unavailable for a moment. */
+    @Test
+    public void a_retry_of_a_service_waits_for_a_server() {
+        fixture.isModelPool = false;
+        fixture.setLeaving(true);
+        CompletableFuture<ChosenBackend> retry = fixture.choose(dispatcher, SERVICE, Set.of(RUNNER));
+        fixture.retries.remove().run();
+        fixture.retries.remove().run();
+        assertFalse(retry.isDone());
+
+        fixture.setLeaving(false);
+        fixture.retries.remove().run();
+
+        assertTrue(retry.isDone());
+        assertFalse(retry.isCompletedExceptionally());
+    }
+
+    /** Guards against a retry without a server that never ends. */
+    @Test
+    public void a_retry_without_a_server_ends_at_its_deadline() {
+        fixture.isModelPool = false;
+        fixture.setLeaving(true);
+        CompletableFuture<ChosenBackend> retry = fixture.choose(dispatcher, SERVICE, Set.of(RUNNER));
+        fixture.retries.remove().run();
+
+        fixture.advanceMillis(DispatcherFixture.DEADLINE_MILLIS);
+        fixture.retries.remove().run();
+
+        assertEquals(errorOf(retry).code(), ErrorCode.DEADLINE_EXCEEDED);
+        assertTrue(fixture.retries.isEmpty());
+    }
+
     private static AgatehatchException errorOf(CompletableFuture<ChosenBackend> refused) {
         CompletionException failure = expectThrows(CompletionException.class, () -> refused.getNow(null));
         return Failures.toAgatehatchException(failure, "choose");
