Name the tried server after a skipped frame

Callers would see: a stream whose server skipped a frame ended with overloaded or deadline_exceeded although another server could resume it, or was sent to the same server again.

Cause: the retry after a skipped frame did not add the server to those that were tried. The dispatcher takes a request without tried servers for a new one, whose wait ends at the deadline of its first token. In a running stream that deadline has often passed.

Evidence: before the fix a_retry_after_a_skipped_frame_names_the_server_that_was_tried failed with "Lists differ at element [1]: [r0] != []". It passes with it.

The fix: both ways in which an attempt fails record its server.

--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/RequestExecution.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/RequestExecution.java
@@ -192,6 +192,7 @@
         chosen.observer().onFirstFrame();
         Step step = applyEvent(() -> machine.onFrame(toStreamFrame(frame), clock.millis()));
         if (step.next().isPresent()) {
+            markTried(chosen);
             endAttempt(chosen, AttemptResult.BROKEN);
             return step.ending(new AttemptEnding(step.next(), Optional.empty()));
         }
@@ -212,9 +213,7 @@
         }
         AgatehatchException cause = Failures.toAgatehatchException(failure, "dispatch");
         AttemptResult result = AttemptResult.of(cause);
-        synchronized (this) {
-            triedServers.add(chosen.server().name());
-        }
+        markTried(chosen);
         boolean mayHaveCrashed = result == AttemptResult.BROKEN;
         CompletionStage<Void> crashCheck =
                 mayHaveCrashed ? detectCrash(chosen) : CompletableFuture.completedFuture(null);
@@ -227,6 +226,12 @@
         });
     }
 
+    private void markTried(ChosenBackend chosen) {
+        synchronized (this) {
+            triedServers.add(chosen.server().name());
+        }
+    }
+
     private CompletionStage<Void> detectCrash(ChosenBackend chosen) {
         String epoch;
         long sentMillis;
