Complete an append after all listeners saw its record

Callers would see: after "catalogue apply" had answered, the same node still served a removed model, or refused a new one, for a moment (a_removed_model_is_unloaded_and_no_longer_answers once saw 200 instead of 404).

Cause: the appender is a listener of the replicated state and completed the append in its own notification. The listener that applies the state to traffic is registered later and ran after it.

Evidence: before the fix an_append_completes_after_all_listeners_have_seen_its_record failed with "lists don't have the same size expected [2] but found [1]". It passes with it.

The fix: the appender marks the record as decided at once and posts the completion to the control thread, which runs it after the notification of all listeners.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/BatchAppender.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/BatchAppender.java
@@ -91,7 +91,9 @@
     public void onRecordApplied(long offset, StateRecord record, Acceptance acceptance) {
         PendingRecord pending = pendingById.remove(record.recordId());
         if (pending != null) {
-            pending.finish(AppendResult.decided(offset, acceptance));
+            pending.end();
+            // Listeners that are registered later than this one apply the record before its append completes.
+            control.execute(() -> pending.result.complete(AppendResult.decided(offset, acceptance)));
         }
     }
 
@@ -146,7 +148,8 @@
         if (pending.sent) {
             queue.unknown++;
         }
-        pending.finish(pending.sent ? AppendResult.UNKNOWN : AppendResult.NOT_SENT);
+        pending.end();
+        pending.result.complete(pending.sent ? AppendResult.UNKNOWN : AppendResult.NOT_SENT);
     }
 
     private void scheduleFlush(PurposeQueue queue, long delayMillis) {
@@ -304,10 +307,9 @@
             this.result = result;
         }
 
-        void finish(AppendResult outcome) {
+        void end() {
             done = true;
             deadline.cancel();
-            result.complete(outcome);
         }
     }
 }
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/BatchAppenderTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/BatchAppenderTest.java
@@ -48,6 +48,18 @@
         assertEquals(results.get(0).join().offset(), 1);
     }
 
+    /** Guards against an operator who is told of a change that the requests of the same node do not follow yet. */
+    @Test
+    public void an_append_completes_after_all_listeners_have_seen_its_record() {
+        List<Long> versionsSeenBefore = new ArrayList<>();
+        CompletableFuture<Void> completed = node.append(ownerChange("a", 1, "first"), 5_000)
+                .thenAccept(result -> versionsSeenBefore.addAll(node.versions));
+        time.advance(5_000);
+
+        assertTrue(completed.isDone());
+        assertEquals(versionsSeenBefore, List.of(1L, 2L));
+    }
+
     @Test
     public void lost_responses_are_resolved_by_reading_the_log_and_the_record_takes_effect_once() {
         node.log.loseResponses(2);
