--- /dev/null
+++ b/agatehatch-daemon/src/test/java/org/agatehatch/daemon/traffic/EngineClientTest.java
@@ -0,0 +1,83 @@
+package org.agatehatch.daemon.traffic;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.expectThrows;
+
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.agatehatch.api.catalogue.BackendServer;
+import org.agatehatch.api.errors.AgatehatchException;
+import org.agatehatch.api.errors.Outcome;
+import org.apache.pekko.actor.ActorSystem;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class EngineClientTest {
+    /** With a backoff that starts at 100 ms and doubles, the last of these attempts would wait for over a minute. */
+    private static final int FAILED_ATTEMPTS = 14;
+
+    private static final long ATTEMPT_LIMIT_MILLIS = 15_000;
+
+    private ActorSystem system;
+    private EngineClient client;
+
+    @BeforeMethod
+    public void start() {
+        system = ActorSystem.create("engine-client-test");
+        client = new EngineClient(system, system.settings().config());
+    }
+
+    @AfterMethod
+    public void stop() {
+        system.terminate();
+    }
+
+    /**
+     * Guards against requests that wait for the connection pool until their deadline, although other servers are
+     * available or their server is back.
+     */
+    @Test
+    public void an_attempt_does_not_wait_because_earlier_attempts_could_not_connect() throws Exception {
+        int port = unusedPort();
+        for (int i = 0; i < FAILED_ATTEMPTS; i++) {
+            ExecutionException refused = expectThrows(ExecutionException.class, () -> call(port));
+            assertEquals(((AgatehatchException) Failures.unwrap(refused)).outcome(), Outcome.NOT_RUN);
+        }
+
+        HttpServer server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 0);
+        server.createContext("/", exchange -> {
+            exchange.sendResponseHeaders(200, -1);
+            exchange.close();
+        });
+        server.start();
+        try {
+            assertEquals(call(port).status().intValue(), 200);
+        } finally {
+            server.stop(0);
+        }
+    }
+
+    private HttpResponse call(int port) throws Exception {
+        String address = "127.0.0.1:" + port;
+        BackendServer server = new BackendServer("r0", address, "domain", "region", "pool", "owner", 0, 0, false);
+        HttpResponse response = client.exchange(server, HttpRequest.GET("http://" + address + "/"))
+                .toCompletableFuture()
+                .get(ATTEMPT_LIMIT_MILLIS, TimeUnit.MILLISECONDS);
+        response.discardEntityBytes(system);
+        return response;
+    }
+
+    private static int unusedPort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+}
