Let a timeout within an attempt end only the attempt

Callers would see: a request failed with deadline_exceeded long before its deadline, without a retry, because a call within its first attempt timed out, for example the 2 s for the body of a refusal or the time in which a response must be read.

Cause: the execution took every TimeoutException for the deadline of the request.

Evidence: before the fix a_timeout_before_the_deadline_ends_only_the_ attempt failed with "Failure[error=FinalError[code=DEADLINE_EXCEEDED". It passes with it.

The fix: a timeout counts as the deadline only when the deadline has passed.

--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/RequestExecution.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/RequestExecution.java
@@ -206,7 +206,9 @@
     /** Checks for a crash of the backend server first, so that the crash is recorded before the request is retried. */
     private CompletionStage<Source<RequestOutput, NotUsed>> onAttemptFailed(
             ChosenBackend chosen, AttemptId attempt, Throwable failure) {
-        if (Failures.unwrap(failure) instanceof TimeoutException) {
+        // Calls within an attempt have shorter timeouts, which end only the attempt.
+        boolean deadlinePassed = clock.millis() >= context.deadlineMillis();
+        if (deadlinePassed && Failures.unwrap(failure) instanceof TimeoutException) {
             Step step = applyEvent(machine::onDeadline);
             endAttempt(chosen, AttemptResult.CANCELLED);
             return proceed(step);
--- a/agatehatch-daemon/src/test/java/org/agatehatch/daemon/traffic/RequestExecutionTest.java
+++ b/agatehatch-daemon/src/test/java/org/agatehatch/daemon/traffic/RequestExecutionTest.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.agatehatch.api.catalogue.BackendServer;
 import org.agatehatch.api.catalogue.RequestClass;
 import org.agatehatch.api.time.MonotonicClock;
@@ -24,6 +25,7 @@
 import org.apache.pekko.stream.javadsl.Source;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 public class RequestExecutionTest {
@@ -43,13 +45,38 @@
         system.terminate();
     }
 
+    @BeforeMethod
+    public void forget_choices() {
+        triedByChoice.clear();
+    }
+
     /**
      * Guards against a retry that counts as a new request: its first-token deadline has often passed, so the response
      * would end in the middle, or the retry would go to the server that skipped a frame.
      */
     @Test
     public void a_retry_after_a_skipped_frame_names_the_server_that_was_tried() throws Exception {
-        List<RequestOutput> outputs = execution()
+        RequestExecution execution = execution((server, attempt, resumeFrom) -> CompletableFuture.completedFuture(
+                resumeFrom == 0
+                        ? response(frame(attempt, 0, false), frame(attempt, 2, true))
+                        : response(frame(attempt, resumeFrom, true))));
+
+        assertCompleteAtTheSecondServer(execution);
+    }
+
+    /** Guards against a request that fails long before its deadline because a call of its first attempt timed out. */
+    @Test
+    public void a_timeout_before_the_deadline_ends_only_the_attempt() throws Exception {
+        RequestExecution execution =
+                execution((server, attempt, resumeFrom) -> server.name().equals("r0")
+                        ? CompletableFuture.failedFuture(new TimeoutException("no body within 2 s"))
+                        : CompletableFuture.completedFuture(response(frame(attempt, resumeFrom, true))));
+
+        assertCompleteAtTheSecondServer(execution);
+    }
+
+    private void assertCompleteAtTheSecondServer(RequestExecution execution) throws Exception {
+        List<RequestOutput> outputs = execution
                 .start()
                 .thenCompose(source -> source.runWith(Sink.seq(), system))
                 .toCompletableFuture()
@@ -59,8 +86,7 @@
         assertEquals(triedByChoice, List.of(Set.of(), Set.of("r0")));
     }
 
-    /** Returns the execution of a request whose first attempt skips frame 1; the second one resumes there and ends. */
-    private RequestExecution execution() {
+    private RequestExecution execution(AttemptSender sender) {
         long nowMillis = CLOCK.millis();
         RequestContext context = new RequestContext(
                 "req-1",
@@ -84,10 +110,7 @@
                 context,
                 new RequestStateMachine(spec, new RetryBudget(10), new Random(7)),
                 this::choose,
-                (server, attempt, resumeFrom) -> CompletableFuture.completedFuture(
-                        resumeFrom == 0
-                                ? response(frame(attempt, 0, false), frame(attempt, 2, true))
-                                : response(frame(attempt, resumeFrom, true))),
+                sender,
                 new EngineClient(system, system.settings().config()),
                 IdempotencyClaimsFactory.none(),
                 (server, epoch, sentAtMillis) -> CompletableFuture.completedFuture(null),
