--- a/agatehatch-daemon/src/test/java/org/agatehatch/daemon/traffic/EngineClientTest.java
+++ b/agatehatch-daemon/src/test/java/org/agatehatch/daemon/traffic/EngineClientTest.java
@@ -26,6 +26,12 @@
 
     private static final long ATTEMPT_LIMIT_MILLIS = 15_000;
 
+    /** Too large to arrive together with the head, which would need no later read. */
+    private static final int LARGE_BODY_BYTES = 4 << 20;
+
+    /** Longer than the time after which the HTTP client ends an unread response by default. */
+    private static final long PAUSE_MILLIS = 2_500;
+
     private ActorSystem system;
     private EngineClient client;
 
@@ -65,14 +71,44 @@
         }
     }
 
+    /** Guards against cutting a response because this process paused between its head and its first byte. */
+    @Test
+    public void a_response_that_is_read_late_is_complete() throws Exception {
+        HttpServer server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+        byte[] body = new byte[LARGE_BODY_BYTES];
+        server.createContext("/", exchange -> {
+            exchange.sendResponseHeaders(200, body.length);
+            exchange.getResponseBody().write(body);
+            exchange.close();
+        });
+        server.start();
+        try {
+            HttpResponse response = response(server.getAddress().getPort());
+            Thread.sleep(PAUSE_MILLIS);
+            int received = response.entity()
+                    .toStrict(ATTEMPT_LIMIT_MILLIS, system)
+                    .toCompletableFuture()
+                    .get(ATTEMPT_LIMIT_MILLIS, TimeUnit.MILLISECONDS)
+                    .getData()
+                    .size();
+            assertEquals(received, LARGE_BODY_BYTES);
+        } finally {
+            server.stop(0);
+        }
+    }
+
     private HttpResponse call(int port) throws Exception {
+        HttpResponse response = response(port);
+        response.discardEntityBytes(system);
+        return response;
+    }
+
+    private HttpResponse response(int port) throws Exception {
         String address = "127.0.0.1:" + port;
         BackendServer server = new BackendServer("r0", address, "domain", "region", "pool", "owner", 0, 0, false);
-        HttpResponse response = client.exchange(server, HttpRequest.GET("http://" + address + "/"))
+        return client.exchange(server, HttpRequest.GET("http://" + address + "/"))
                 .toCompletableFuture()
                 .get(ATTEMPT_LIMIT_MILLIS, TimeUnit.MILLISECONDS);
-        response.discardEntityBytes(system);
-        return response;
     }
 
     private static int unusedPort() throws IOException {
