Take the outcome of a refusal without its body

Callers would see: a request that a server had refused as not run ended with an unknown outcome and, if it must run at most once, without a retry, because the body of the refusal did not arrive within 2 s.

Cause: the refusal was only evaluated after its body was complete, and a failure of the body replaced it.

Evidence: before the fix a_refusal_whose_body_does_not_arrive_is_known_as_not_run failed with "expected [NOT_RUN] but found [UNKNOWN]". It passes with it.

The fix: the status and the header decide. Without a body the refusal has no closer reason.

--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/EngineClient.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/EngineClient.java
@@ -120,8 +120,10 @@
         int status = response.status().intValue();
         return response.entity()
                 .toStrict(REFUSAL_BODY_TIMEOUT_MILLIS, materializer)
-                .thenApply(strict -> {
-                    String body = strict.getData().utf8String();
+                .thenApply(strict -> strict.getData().utf8String())
+                // The status and the headers tell the outcome also without the body.
+                .exceptionally(failure -> "the body did not arrive: " + failure.getMessage())
+                .thenApply(body -> {
                     throw new AgatehatchException(
                             ErrorCode.BACKEND_SERVER_FAILED,
                             notRun ? refusalStep(body) : DISPATCH_STEP,
--- a/agatehatch-daemon/src/test/java/org/agatehatch/daemon/traffic/EngineClientTest.java
+++ b/agatehatch-daemon/src/test/java/org/agatehatch/daemon/traffic/EngineClientTest.java
@@ -8,9 +8,12 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.agatehatch.api.catalogue.BackendServer;
+import org.agatehatch.api.catalogue.RequestClass;
 import org.agatehatch.api.errors.AgatehatchException;
 import org.agatehatch.api.errors.Outcome;
 import org.apache.pekko.actor.ActorSystem;
@@ -97,6 +100,53 @@
         }
     }
 
+    /** Guards against a request that is not retried, although its refusal said that it was not run, because of a slow body. */
+    @Test
+    public void a_refusal_whose_body_does_not_arrive_is_known_as_not_run() throws Exception {
+        HttpServer server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+        server.createContext("/", exchange -> {
+            exchange.getResponseHeaders().add(Outcome.HEADER, Outcome.NOT_RUN.wireName());
+            exchange.sendResponseHeaders(503, LARGE_BODY_BYTES);
+        });
+        server.start();
+        try {
+            ExecutionException refused = expectThrows(
+                    ExecutionException.class, () -> send(server.getAddress().getPort()));
+            assertEquals(
+                    Failures.toAgatehatchException(Failures.unwrap(refused), "send")
+                            .outcome(),
+                    Outcome.NOT_RUN);
+        } finally {
+            server.stop(0);
+        }
+    }
+
+    private AttemptResponse send(int port) throws Exception {
+        String path = CompletionRequestReader.CHAT_PATH;
+        byte[] body = "{\"model\":\"m\",\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}"
+                .getBytes(StandardCharsets.UTF_8);
+        RequestContext context = new RequestContext(
+                "req-1",
+                true,
+                "m",
+                "pool",
+                Optional.of("m"),
+                Optional.empty(),
+                "owner",
+                new RequestClass("class", 50, 1_000, 1_000, 60_000),
+                new long[0],
+                0,
+                1,
+                1,
+                1,
+                0,
+                60_000,
+                1);
+        return client.send(server(port), CompletionRequestReader.read(path, body), context, "attempt", 0)
+                .toCompletableFuture()
+                .get(ATTEMPT_LIMIT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     private HttpResponse call(int port) throws Exception {
         HttpResponse response = response(port);
         response.discardEntityBytes(system);
@@ -104,13 +154,16 @@
     }
 
     private HttpResponse response(int port) throws Exception {
-        String address = "127.0.0.1:" + port;
-        BackendServer server = new BackendServer("r0", address, "domain", "region", "pool", "owner", 0, 0, false);
-        return client.exchange(server, HttpRequest.GET("http://" + address + "/"))
+        BackendServer server = server(port);
+        return client.exchange(server, HttpRequest.GET("http://" + server.address() + "/"))
                 .toCompletableFuture()
                 .get(ATTEMPT_LIMIT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    private static BackendServer server(int port) {
+        return new BackendServer("r0", "127.0.0.1:" + port, "domain", "region", "pool", "owner", 0, 0, false);
+    }
+
     private static int unusedPort() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return socket.getLocalPort();
