Count a request before it is admitted

Callers would see: a request that arrived at the moment in which a leaving node stops admitting could be cut after 2 s.

Cause: a request was counted as in flight only after its handler had admitted it and begun. A stop in between saw no request in flight and ended the connections with the short limit of the HTTP library instead of the drain limit.

Evidence: with the increment behind the call of the handler, as before, a_stop_waits_for_a_request_that_is_still_being_admitted failed with "expected [false] but found [true]". It passes with it.

The fix: the count is raised first and given back if the handler throws.

--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/front/InFlightRequests.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/front/InFlightRequests.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 import org.apache.pekko.http.javadsl.model.HttpEntities;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.ResponseEntity;
@@ -19,9 +20,19 @@
 
     private final AtomicInteger count = new AtomicInteger();
 
-    /** Counts a request until its response, which may be streamed, is complete. */
-    CompletionStage<HttpResponse> track(CompletionStage<HttpResponse> response) {
+    /**
+     * Handles a request and counts it until its response, which may be streamed, is complete. Counts it before it is
+     * handled, so that a stop waits for a request that was admitted just before.
+     */
+    CompletionStage<HttpResponse> track(Supplier<CompletionStage<HttpResponse>> handler) {
         count.incrementAndGet();
+        CompletionStage<HttpResponse> response;
+        try {
+            response = handler.get();
+        } catch (RuntimeException e) {
+            count.decrementAndGet();
+            throw e;
+        }
         return response.handle((completed, failure) -> {
                     if (failure != null || !completed.entity().isChunked()) {
                         count.decrementAndGet();
--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/front/NodeHttpApi.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/front/NodeHttpApi.java
@@ -78,7 +78,7 @@
         long arrivedNanos = clock.nanos();
         try {
             return inFlight.track(
-                    dispatch(request, arrivedNanos).exceptionally(failure -> errorResponse(request, failure)));
+                    () -> dispatch(request, arrivedNanos).exceptionally(failure -> errorResponse(request, failure)));
         } catch (RuntimeException e) {
             request.discardEntityBytes(materializer);
             return CompletableFuture.completedFuture(errorResponse(request, e));
