Send the hello of a peer link before its peer can answer

Callers would see: now and then a new link between two nodes closed at once, and questions that had been sent to it failed, among them claims of idempotency keys and fetches of the state.

Cause: a link ran its stream first and enqueued its hello afterwards. If the hello of the peer arrived in between, its answer, the proof, was sent before the hello, and the peer closed the link with "malformed handshake hello: Expected Array, but got Integer".

The fix: the hello is enqueued before the stream runs.

--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/links/PeerLinks.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/links/PeerLinks.java
@@ -151,6 +151,8 @@
         Sink<ByteString, CompletionStage<Done>> input = decoder().toMat(Sink.foreach(link::onBytes), Keep.right());
         Flow<ByteString, ByteString, CompletionStage<Done>> frames =
                 Flow.fromSinkAndSourceCoupledMat(input, output.second().via(encoder()), Keep.left());
+        // Enqueues the hello before the peer's hello can arrive, whose answer must follow it.
+        link.start();
         CompletionStage<Done> done = frames.join(connection).run(materializer);
         link.opened().thenAccept(links::add);
         done.whenComplete((ignored, failure) -> onLinkClosed(link, whenClosed, failure));
@@ -161,7 +163,6 @@
                         Duration.ofMillis(HANDSHAKE_TIMEOUT_MILLIS),
                         () -> closeUnlessAuthenticated(link),
                         materializer.executionContext());
-        link.start();
         return link;
     }
 
--- a/agatehatch-daemon/src/test/java/org/agatehatch/daemon/links/PeerLinksTest.java
+++ b/agatehatch-daemon/src/test/java/org/agatehatch/daemon/links/PeerLinksTest.java
@@ -10,6 +10,8 @@
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
@@ -23,6 +25,10 @@
 public final class PeerLinksTest {
     private static final String KEY = "0123456789abcdef";
     private static final long TIMEOUT_MILLIS = 10_000;
+    /** Rounds of links, in total below the limit of links that a node accepts. */
+    private static final int ROUNDS = 20;
+
+    private static final int CONCURRENT_LINKS = 32;
     private ActorSystem system;
 
     @BeforeClass
@@ -41,6 +47,22 @@
         assertEquals(ask(client(KEY), port, "ping"), "answer to ping");
     }
 
+    /** Guards against a link that sends its proof before its hello, because the hello of its peer arrived early. */
+    @Test
+    public void every_one_of_many_links_opens() {
+        int port = serve();
+        for (int i = 0; i < ROUNDS; i++) {
+            List<CompletableFuture<PeerMessage>> answers = new ArrayList<>();
+            for (int j = 0; j < CONCURRENT_LINKS; j++) {
+                PeerMessage question = new PeerMessage("test", new byte[0]);
+                answers.add(client(KEY)
+                        .ask("127.0.0.1:" + port, question, TIMEOUT_MILLIS)
+                        .toCompletableFuture());
+            }
+            answers.forEach(CompletableFuture::join);
+        }
+    }
+
     @Test
     public void a_peer_with_another_key_gets_no_answer() {
         int port = serve();
