Limit the size and the duration of response heads from servers

One backend server that wrote interim responses (100 Continue) without end stopped the whole daemon: the parser of Pekko HTTP handles consecutive interim responses recursively, the stack overflowed, and the actor system treated the error as fatal and ended the JVM. A server that wrote its head a byte now and then kept its connection open for ever, because idle-timeout of the client pool is infinite and no other limit of time covers a head.

Before the fix the usage test ended with StackOverflowError in HttpResponseParser.parseMessage and "The forked VM terminated without properly saying goodbye" at the row of interim heads. With the limit of bytes but without a limit of time, PlatformHttpEndlessTest failed at the row of the slow head with "no connection with an endless response was closed within 25 s".

A stage between the TCP connection and the parser passes bytes on in blocks that are too small for a stack overflow, and fails the connection when a head, with its interim responses, exceeds 64 KiB or 10 s. Both pools, of EngineClient and PlatformHttp, use it.

The other rows hold with the limits of Pekko HTTP as they are (status line, header value, headers, body without length, chunks, huge length, chunk extension, trailers, event, line) and prove those.

--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/platform/PlatformHttp.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/platform/PlatformHttp.java
@@ -17,6 +17,7 @@
 import org.apache.pekko.http.javadsl.Http;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.settings.ConnectionPoolSettings;
 import org.apache.pekko.stream.Materializer;
 import org.apache.pekko.stream.SystemMaterializer;
 import org.apache.pekko.util.ByteString;
@@ -31,9 +32,14 @@
 
     private final Http http;
     private final Materializer materializer;
+    private final ClassicActorSystemProvider system;
+    private final ConnectionPoolSettings poolSettings;
 
     public PlatformHttp(ClassicActorSystemProvider system) {
+        this.system = system;
         this.http = Http.get(system);
+        this.poolSettings =
+                BackendPools.settings(system.classicSystem().settings().config());
         this.materializer = SystemMaterializer.get(system).materializer();
     }
 
@@ -44,7 +50,11 @@
     public <T> CompletionStage<T> call(
             HttpRequest request, Duration timeout, TypeReference<T> type, ErrorCode code, String step) {
         String peer = request.getUri().host() + ":" + request.getUri().port();
-        CompletableFuture<T> answer = http.singleRequest(request)
+        CompletableFuture<T> answer = http.singleRequest(
+                        request,
+                        http.defaultClientHttpsContext(),
+                        poolSettings,
+                        system.classicSystem().log())
                 .thenCompose(response -> body(response, timeout, peer, code, step))
                 .thenApply(bytes -> decode(bytes, type, code, step, peer))
                 .toCompletableFuture()
--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/EngineClient.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/EngineClient.java
@@ -7,6 +7,7 @@
 import org.agatehatch.api.errors.AgatehatchException;
 import org.agatehatch.api.errors.ErrorCode;
 import org.agatehatch.api.errors.Outcome;
+import org.agatehatch.daemon.platform.BackendPools;
 import org.apache.pekko.NotUsed;
 import org.apache.pekko.actor.ClassicActorSystemProvider;
 import org.apache.pekko.http.javadsl.Http;
@@ -47,9 +48,8 @@
         this.system = system;
         this.http = Http.get(system);
         this.materializer = SystemMaterializer.get(system).materializer();
-        this.poolSettings = ConnectionPoolSettings.create(
-                        config.withFallback(system.classicSystem().settings().config()))
-                .withMaxRetries(0);
+        this.poolSettings = BackendPools.settings(
+                config.withFallback(system.classicSystem().settings().config()));
     }
 
     /**
