Complete an answer at its last frame and drain the rest briefly

When comments followed the last frame of a stream, a caller got its complete answer only at the deadline of the request, and the connection was read until then: the rest of a response was read without a limit of its own so that the connection could be reused.

DrainAfterEnd completes with the frame that ends the answer, goes on reading for 250 ms in the background and then closes the connection.

--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/RequestExecution.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/RequestExecution.java
@@ -29,6 +29,8 @@
 final class RequestExecution {
     /** Replaces an attempt id that cannot be parsed, so that its frame counts as one of another attempt. */
     private static final AttemptId UNPARSABLE_ATTEMPT_ID = new AttemptId(0, 0);
+    /** The last chunk follows the last frame at once; the limit allows for several round trips between regions. */
+    private static final Duration DRAIN_TIMEOUT = Duration.ofMillis(250);
 
     private final RequestContext context;
     private final RequestStateMachine machine;
@@ -149,6 +151,7 @@
         List<AttemptEnding> ending = new ArrayList<>(1);
         return response.frames()
                 .map(frame -> onFrame(chosen, frame))
+                .via(new DrainAfterEnd<>(RequestExecution::endsComplete, DRAIN_TIMEOUT))
                 .completionTimeout(Duration.ofMillis(remainingMillis()))
                 .recover(new PFBuilder<Throwable, Step>()
                         .matchAny(failure -> Step.failed(failure))
@@ -163,10 +166,8 @@
         if (step.ending().isEmpty()) {
             return step.outputs();
         }
-        boolean stopReading = !ending.isEmpty() || !step.ending().get().complete();
         ending.add(step.ending().get());
-        if (!stopReading) {
-            // Reads the rest of the response, so that its connection can be reused.
+        if (endsComplete(step)) {
             return step.outputs();
         }
         List<RequestOutput> outputs = new ArrayList<>(step.outputs());
@@ -174,6 +175,10 @@
         return outputs;
     }
 
+    private static boolean endsComplete(Step step) {
+        return step.ending().filter(AttemptEnding::complete).isPresent();
+    }
+
     private Source<RequestOutput, ?> afterAttempt(ChosenBackend chosen, AttemptId attempt, List<AttemptEnding> ending) {
         if (ending.isEmpty()) {
             return Source.completionStageSource(onAttemptFailed(chosen, attempt, new TruncatedResponseException()));
--- a/agatehatch-daemon/src/test/java/org/agatehatch/daemon/usage/EndlessResponsesUsageTest.java
+++ b/agatehatch-daemon/src/test/java/org/agatehatch/daemon/usage/EndlessResponsesUsageTest.java
@@ -139,6 +139,40 @@
         assertEnginesClosedWithinBounds();
     }
 
+    @DataProvider
+    public Object[][] bytesAfterTheEnd() {
+        return new Object[][] {
+            {"events", 0L, false},
+            {"comments", 0L, false},
+            {"slow comments", 100L, false},
+            {"comments", 0L, true},
+            {"slow comments", 100L, true},
+        };
+    }
+
+    // Guards against a complete answer that is held back, and a connection that stays open, because bytes follow the
+    // end of the answer.
+    @Test(dataProvider = "bytesAfterTheEnd")
+    public void bytes_without_end_after_a_complete_answer_do_not_delay_it(
+            String kind, long pauseMillis, boolean stream) {
+        script = Optional.of(attempt -> {
+            String start = STREAM_HEAD
+                    + chunk(event(attempt, 0, "{\"choices\":[{\"index\":0,\"delta\":{\"content\":\"hi\"}}]}"))
+                    + chunk(event(attempt, 1, "[DONE]"));
+            String after = kind.equals("events") ? chunk(event(attempt, 2, "{}")) : chunk(": x\n\n");
+            return pauseMillis > 0 ? Script.slow(start, after, pauseMillis) : Script.fast(start, after);
+        });
+        long startNanos = System.nanoTime();
+
+        HttpResponse<String> response = deployment.complete(0, MODEL, "Which grit?", 100, stream);
+
+        long elapsedMillis = (System.nanoTime() - startNanos) / 1_000_000;
+        assertEquals(response.statusCode(), 200, response.body());
+        assertTrue(response.body().contains("hi"), response.body());
+        assertTrue(elapsedMillis < DEADLINE_MILLIS / 2, "answered after " + elapsedMillis + " ms");
+        assertEnginesClosedWithinBounds();
+    }
+
     private Reply reply(String request, String address) {
         boolean work = request.startsWith("POST /v1/") || request.startsWith("POST /orders");
         if (!work || script.isEmpty()) {
