Limit the text of a completion that is assembled in memory

For a caller without a stream the node kept the text of a completion in memory without a limit, until the deadline, when an engine sent valid frames without end.

Above 8 Mi characters, the limit that responses of plain services have, the request now fails with 502 and an unknown outcome, and the connection is closed.

--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/CompletionAssembler.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/CompletionAssembler.java
@@ -12,6 +12,8 @@
 /** Assembles the chunks of a streamed completion into one object, for callers that did not request a stream. */
 final class CompletionAssembler {
     private static final ObjectMapper JSON = new ObjectMapper();
+    /** The limit of a plain service's response; the longest completions are far below it. */
+    private static final int MAX_TEXT_CHARS = 8 << 20;
 
     private final boolean chat;
     private final String requestId;
@@ -46,6 +48,14 @@
                 chat
                         ? choice.path("delta").path("content").asText("")
                         : choice.path("text").asText(""));
+        if (text.length() > MAX_TEXT_CHARS) {
+            throw new AgatehatchException(
+                    ErrorCode.BACKEND_SERVER_FAILED,
+                    "read answer",
+                    "backend server",
+                    Outcome.UNKNOWN,
+                    "the completion exceeds " + MAX_TEXT_CHARS + " characters");
+        }
         finishReason = choice.path("finish_reason").asText(finishReason);
         if (node.hasNonNull("usage")) {
             usage = node.get("usage");
--- a/agatehatch-daemon/src/test/java/org/agatehatch/daemon/usage/EndlessResponsesUsageTest.java
+++ b/agatehatch-daemon/src/test/java/org/agatehatch/daemon/usage/EndlessResponsesUsageTest.java
@@ -139,6 +139,22 @@
         assertEnginesClosedWithinBounds();
     }
 
+    // Guards against an unbounded completion in memory for a caller that did not request a stream.
+    @Test
+    public void a_completion_without_end_fails_for_a_caller_without_stream() {
+        script = Optional.of(attempt -> Script.counting(
+                STREAM_HEAD,
+                index -> chunk(event(
+                        attempt,
+                        index,
+                        "{\"choices\":[{\"index\":0,\"delta\":{\"content\":\"" + "x".repeat(3_000) + "\"}}]}"))));
+
+        HttpResponse<String> response = deployment.complete(0, MODEL, "Which grit?", 100, false);
+
+        assertFailedWithUnknownOutcome(response);
+        assertEnginesClosedWithinBounds();
+    }
+
     @DataProvider
     public Object[][] bytesAfterTheEnd() {
         return new Object[][] {
