Keep the declaration of a refusal whose body never ends

When a server declared with its head that it had not run a request and then wrote a body without end, the caller got an unknown outcome (502), although the head proves that the request did not run. Before the fix a_refusal_of_a_service_with_an_endless_body_is_not_run failed, with "the backend server failed or did not answer (attempt 1); check whether the request ran before retrying it".

The head decides now. At most 64 KiB of the body of a refusal are read within 2 s; a larger or slower body counts as empty.

--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/EngineClient.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/EngineClient.java
@@ -37,6 +37,9 @@
     private static final String EVENT_STREAM = "text/event-stream";
     private static final String DISPATCH_STEP = "dispatch";
     private static final long REFUSAL_BODY_TIMEOUT_MILLIS = 2_000;
+    /** Refusals are short JSON objects; a larger body is not worth reading. */
+    static final long MAX_REFUSAL_BODY_BYTES = 64 << 10;
+
     private static final String CONNECT_FAILED_PREFIX = "Tcp command [Connect";
 
     private final ClassicActorSystemProvider system;
@@ -118,19 +121,25 @@
                 .filter(Outcome.NOT_RUN.wireName()::equals)
                 .isPresent();
         int status = response.status().intValue();
+        return refusalBody(response).thenApply(body -> {
+            throw new AgatehatchException(
+                    ErrorCode.BACKEND_SERVER_FAILED,
+                    notRun ? refusalStep(body) : DISPATCH_STEP,
+                    server.name(),
+                    notRun ? Outcome.NOT_RUN : Outcome.RAN,
+                    "the backend server responded with status " + status + ": " + body);
+        });
+    }
+
+    /**
+     * Reads the body of a response that is no answer. Completes with an empty text if the body is too large or too slow,
+     * because the head alone says whether the attempt ran.
+     */
+    CompletionStage<String> refusalBody(HttpResponse response) {
         return response.entity()
+                .withSizeLimit(MAX_REFUSAL_BODY_BYTES)
                 .toStrict(REFUSAL_BODY_TIMEOUT_MILLIS, materializer)
-                .thenApply(strict -> strict.getData().utf8String())
-                // The status and the headers tell the outcome also without the body.
-                .exceptionally(failure -> "the body did not arrive: " + failure.getMessage())
-                .thenApply(body -> {
-                    throw new AgatehatchException(
-                            ErrorCode.BACKEND_SERVER_FAILED,
-                            notRun ? refusalStep(body) : DISPATCH_STEP,
-                            server.name(),
-                            notRun ? Outcome.NOT_RUN : Outcome.RAN,
-                            "the backend server responded with status " + status + ": " + body);
-                });
+                .handle((strict, failure) -> failure == null ? strict.getData().utf8String() : "");
     }
 
     private static String refusalStep(String body) {
--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/ServiceHandler.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/ServiceHandler.java
@@ -145,33 +145,44 @@
                 .withHeaders(forwardableHeaders(callerRequest.getHeaders()))
                 .addHeader(RawHeader.create("Agatehatch-Attempt", attempt))
                 .withEntity(callerRequest.entity().getContentType(), body);
-        return client.exchange(server, request)
-                .thenCompose(response -> response.entity()
-                        .withSizeLimit(MAX_RESPONSE_BYTES)
-                        .toStrict(entry.timeoutMillis(), materializer)
-                        .thenApply(strict -> {
-                            headers.set(forwardableHeaders(response.getHeaders()));
-                            return toAttemptResponse(
-                                    server, attempt, response, strict.getData().toArray());
-                        }));
+        return client.exchange(server, request).thenCompose(response -> {
+            if (isRefusal(response)) {
+                return refused(server, response);
+            }
+            return response.entity()
+                    .withSizeLimit(MAX_RESPONSE_BYTES)
+                    .toStrict(entry.timeoutMillis(), materializer)
+                    .thenApply(strict -> {
+                        headers.set(forwardableHeaders(response.getHeaders()));
+                        return toAttemptResponse(
+                                attempt, response, strict.getData().toArray());
+                    });
+        });
     }
 
-    private static AttemptResponse toAttemptResponse(
-            BackendServer server, String attempt, HttpResponse response, byte[] body) {
+    private static boolean isRefusal(HttpResponse response) {
         int status = response.status().intValue();
         boolean notRun = response.getHeader(Outcome.HEADER)
                 .map(HttpHeader::value)
                 .filter(Outcome.NOT_RUN.wireName()::equals)
                 .isPresent();
-        if (notRun && (status == SERVICE_UNAVAILABLE || status == TOO_MANY_REQUESTS)) {
+        return notRun && (status == SERVICE_UNAVAILABLE || status == TOO_MANY_REQUESTS);
+    }
+
+    private CompletionStage<AttemptResponse> refused(BackendServer server, HttpResponse response) {
+        return client.refusalBody(response).thenApply(ignored -> {
             throw new AgatehatchException(
                     ErrorCode.BACKEND_SERVER_FAILED,
                     "dispatch",
                     server.name(),
                     Outcome.NOT_RUN,
-                    "the backend server responded with status " + status
-                            + " and declared that it did not run the call");
-        }
+                    "the backend server responded with status "
+                            + response.status().intValue() + " and declared that it did not run the call");
+        });
+    }
+
+    private static AttemptResponse toAttemptResponse(String attempt, HttpResponse response, byte[] body) {
+        int status = response.status().intValue();
         String contentType = response.entity().getContentType().toString();
         return new AttemptResponse(status, contentType, "", Source.single(new ResponseFrame(attempt, 0, body, true)));
     }
--- a/agatehatch-daemon/src/test/java/org/agatehatch/daemon/usage/EndlessResponsesUsageTest.java
+++ b/agatehatch-daemon/src/test/java/org/agatehatch/daemon/usage/EndlessResponsesUsageTest.java
@@ -110,6 +110,19 @@
         assertClosed(service());
     }
 
+    // Guards against losing the declaration that a call did not run because the body after it never ends.
+    @Test
+    public void a_refusal_of_a_service_with_an_endless_body_is_not_run() {
+        script = Optional.of(attempt -> Script.fast(
+                "HTTP/1.1 503 Full\r\nAgatehatch-Outcome: not_run\r\nContent-Type: text/plain\r\n\r\n", "x"));
+
+        HttpResponse<String> response =
+                deployment.post(URI.create(deployment.url(0) + "/services/orders/orders"), "{}");
+
+        assertEquals(response.headers().firstValue("Agatehatch-Outcome").orElse(""), "not_run", response.body());
+        assertClosed(service());
+    }
+
     @DataProvider
     public Object[][] endlessEngineResponses() {
         return new Object[][] {
