Limit the reply to a cancellation

The reply to a cancelled attempt was discarded until it ended, so a reply without end kept a connection for each cancelled attempt. Without the fix a_reply_to_a_cancellation_that_never_ends_is_closed failed with "no connection with an endless response was closed within 25 s".

The reply is read like the body of a refusal: at most 64 KiB within 2 s.

--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/EngineClient.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/EngineClient.java
@@ -110,9 +110,9 @@
 
     /** Asks the engine to cancel an attempt. Best effort: a failure is ignored. */
     public void cancel(BackendServer runner, String attempt) {
-        http.singleRequest(HttpRequest.DELETE("http://" + runner.address() + "/v1/attempts/" + attempt))
-                .thenAccept(response -> response.discardEntityBytes(materializer))
-                .exceptionally(ignored -> null);
+        exchange(runner, HttpRequest.DELETE("http://" + runner.address() + "/v1/attempts/" + attempt))
+                .thenCompose(this::refusalBody)
+                .exceptionally(ignored -> "");
     }
 
     private <T> CompletionStage<T> failedWithRefusal(BackendServer server, HttpResponse response) {
--- a/agatehatch-daemon/src/test/java/org/agatehatch/daemon/usage/EndlessResponsesUsageTest.java
+++ b/agatehatch-daemon/src/test/java/org/agatehatch/daemon/usage/EndlessResponsesUsageTest.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.agatehatch.daemon.endless.EndlessServer;
@@ -42,6 +43,8 @@
     private final List<EndlessServer> servers = new ArrayList<>();
     private Deployment deployment;
     private volatile Optional<ScriptOf> script = Optional.empty();
+    private volatile boolean cancellationsEndless;
+    private final AtomicInteger cancellations = new AtomicInteger();
 
     @BeforeClass
     public void start() {
@@ -67,6 +70,7 @@
     @BeforeMethod
     public void awaitServing() {
         script = Optional.empty();
+        cancellationsEndless = false;
         deployment.awaitServing(MODEL);
     }
 
@@ -202,12 +206,29 @@
         assertEnginesClosedWithinBounds();
     }
 
+    // Guards against reading the reply to a cancellation for ever, which keeps one connection for each cancelled
+    // attempt.
+    @Test
+    public void a_reply_to_a_cancellation_that_never_ends_is_closed() {
+        script = Optional.of(fixed(Script.slow(STREAM_HEAD + chunk("data: "), chunk("x"), 100)));
+        cancellationsEndless = true;
+
+        assertFailedWithUnknownOutcome(deployment.complete(0, MODEL, "Which grit?", 100, false));
+
+        Deployment.await("the attempt is cancelled", () -> cancellations.get() > 0);
+        assertEnginesClosedWithinBounds();
+    }
+
     private Reply reply(String request, String address) {
-        boolean work = request.startsWith("POST /v1/") || request.startsWith("POST /orders");
+        boolean cancellation = cancellationsEndless && request.startsWith("DELETE /v1/attempts/");
+        boolean work = cancellation || request.startsWith("POST /v1/") || request.startsWith("POST /orders");
         if (!work || script.isEmpty()) {
             return new Reply.Relayed(address);
         }
         Matcher attempt = ATTEMPT.matcher(request);
+        if (cancellation) {
+            cancellations.incrementAndGet();
+        }
         return new Reply.Endless(script.get().of(attempt.find() ? attempt.group(1) : ""));
     }
 
