--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/BackendConnection.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/BackendConnection.java
@@ -93,7 +93,7 @@
         });
     }
 
-    /** Aborts the request in flight by closing the connection, upon which the server stops working enabled the request. */
+    /** Aborts the request in flight by closing the connection, upon which the server stops working on the request. */
     public void abort() {
         listener = Optional.empty();
         close();
@@ -127,7 +127,7 @@
         channel.config().setAutoRead(enabled);
     }
 
-    /** Returns the number of requests sent enabled this connection. */
+    /** Returns the number of requests sent on this connection. */
     public int requestCount() {
         return requestCount;
     }
