Log the prompt parts of broken attempts and each strike of a crash

The hypotheses for the crashing prompt part could not be told apart: no line named the parts of a prompt, and the detector of poison requests logged neither the crashes that it confirmed nor those that it heard of from peers.

Checked with PoisonRequestDetectorTest, SilentServerTest and WireCasesTest.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/PoisonRequestDetector.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/PoisonRequestDetector.java
@@ -38,24 +38,38 @@
      */
     public record Strike(long fingerprint, String process) {}
 
+    /** Receives each new strike. */
+    @FunctionalInterface
+    public interface StrikeListener {
+        /**
+         * Called after a strike was recorded.
+         *
+         * @param strikes number of strikes of the request, including this one
+         * @param own whether this node saw the crash, not a peer
+         */
+        void onStrike(Strike strike, int strikes, boolean own);
+    }
+
     private record BrokenConnection(long fingerprint, long atMillis) {}
 
     private record RequestStrikes(Set<String> processes, long atMillis) {}
 
     private final MonotonicClock clock;
+    private final StrikeListener listener;
     private final Map<String, List<BrokenConnection>> brokenConnectionsByProcess = new HashMap<>();
     private final LinkedHashMap<Long, RequestStrikes> strikesByFingerprint = new LinkedHashMap<>();
     private final Map<String, Long> deathMillisByProcess = new HashMap<>();
 
-    public PoisonRequestDetector(MonotonicClock clock) {
+    public PoisonRequestDetector(MonotonicClock clock, StrikeListener listener) {
         this.clock = clock;
+        this.listener = listener;
     }
 
     /** Records that a connection broke while a request was running on a server's process. */
     public void connectionBroken(long fingerprint, String process) {
         expireOld();
         if (deathMillisByProcess.containsKey(process)) {
-            addStrike(new Strike(fingerprint, process));
+            addStrike(new Strike(fingerprint, process), true);
             return;
         }
         brokenConnectionsByProcess
@@ -69,7 +83,7 @@
         deathMillisByProcess.put(process, clock.millis());
         List<BrokenConnection> broken = brokenConnectionsByProcess.remove(process);
         if (broken != null) {
-            broken.forEach(entry -> addStrike(new Strike(entry.fingerprint(), process)));
+            broken.forEach(entry -> addStrike(new Strike(entry.fingerprint(), process), true));
         }
     }
 
@@ -91,7 +105,7 @@
 
     /** Merges strikes that other nodes have recorded. */
     public void merge(Collection<Strike> strikes) {
-        strikes.forEach(this::addStrike);
+        strikes.forEach(strike -> addStrike(strike, false));
     }
 
     /** Returns all strikes, to be sent to other nodes. */
@@ -102,7 +116,7 @@
         return all;
     }
 
-    private void addStrike(Strike strike) {
+    private void addStrike(Strike strike, boolean own) {
         RequestStrikes previous = strikesByFingerprint.get(strike.fingerprint());
         Set<String> processes = new HashSet<>(previous == null ? Set.of() : previous.processes());
         if (!processes.add(strike.process())) {
@@ -114,6 +128,7 @@
             oldest.next();
             oldest.remove();
         }
+        listener.onStrike(strike, processes.size(), own);
     }
 
     private void expireOld() {
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/PoisonRequestDetectorTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/PoisonRequestDetectorTest.java
@@ -21,7 +21,7 @@
     @BeforeMethod
     public void create() {
         time = new VirtualTime();
-        detector = new PoisonRequestDetector(time);
+        detector = new PoisonRequestDetector(time, (strike, strikes, own) -> {});
     }
 
     private void crash(String process, long... running) {
@@ -78,7 +78,7 @@
     @Test
     public void strikes_of_other_nodes_count() {
         crash("s1@1", POISON);
-        PoisonRequestDetector otherNode = new PoisonRequestDetector(time);
+        PoisonRequestDetector otherNode = new PoisonRequestDetector(time, (strike, strikes, own) -> {});
         otherNode.connectionBroken(POISON, "s2@1");
         otherNode.processDied("s2@1");
         otherNode.merge(detector.strikes());
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/metrics/GatewayMetrics.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/metrics/GatewayMetrics.java
@@ -21,6 +21,8 @@
     private final Counter orders;
     private final Counter silentAttempts;
     private final Counter cutAnswers;
+    private final Counter brokenAttempts;
+    private final Counter strikes;
     private final Histogram firstByteSeconds;
     private final Histogram requestSeconds;
 
@@ -52,6 +54,17 @@
                 .help("Answers that were cut after they had begun, by the end of the last attempt")
                 .labelNames("cause")
                 .register(registry);
+        brokenAttempts = Counter.builder()
+                .name("agatehatch_broken_attempts")
+                .help("Attempts whose connection broke, by what had arrived of the answer: nothing, head or body")
+                .labelNames("received")
+                .register(registry);
+        strikes = Counter.builder()
+                .name("agatehatch_crash_strikes")
+                .help(
+                        "Requests in flight at a server process that is known to have died, by who saw it: this node or a peer")
+                .labelNames("source")
+                .register(registry);
         firstByteSeconds = Histogram.builder()
                 .name("agatehatch_first_byte_seconds")
                 .help("Time from the send to the first byte of an answer's body")
@@ -97,6 +110,16 @@
         cutAnswers.labelValues(cause).inc();
     }
 
+    /** Counts an attempt whose connection broke. */
+    public void attemptBroken(String received) {
+        brokenAttempts.labelValues(received).inc();
+    }
+
+    /** Counts a crash that was attributed to a request. */
+    public void crashStrike(boolean own) {
+        strikes.labelValues(own ? "own" : "peer").inc();
+    }
+
     public void connectionsOpened(int count) {
         connections.inc(count);
     }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
@@ -101,7 +101,7 @@
     private final ResidencyObservations sightings = new ResidencyObservations(clock);
     private final DemandMeter demandMeter = new DemandMeter(ChooserSettings.DEFAULT.prefillTokensPerMilli(), clock);
     private final ServerChooser chooser;
-    private final PoisonRequestDetector crashLedger = new PoisonRequestDetector(clock);
+    private final PoisonRequestDetector crashLedger = new PoisonRequestDetector(clock, this::onStrike);
     private final ResidencyController residencyController;
     private final ResidencyClient residencyClient;
     private volatile FleetView fleet = FleetView.EMPTY;
@@ -323,6 +323,16 @@
         loop.execute(() -> before.forEach(crashLedger::processDied));
     }
 
+    private void onStrike(PoisonRequestDetector.Strike strike, int strikes, boolean own) {
+        metrics.crashStrike(own);
+        log.info(
+                "event=crash_strike request_hash={} process={} strikes={} source={}",
+                Long.toHexString(strike.fingerprint()),
+                strike.process(),
+                strikes,
+                own ? "own" : "peer");
+    }
+
     private static Set<String> processes(FleetView view) {
         Set<String> processes = new HashSet<>();
         view.byService().values().forEach(servers -> servers.forEach(server -> processes.add(server.processKey())));
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/ResidencyClient.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/ResidencyClient.java
@@ -90,7 +90,7 @@
         this.nodeCount = nodes;
         this.holderWatch = watch;
         this.crashLedger = crashes;
-        this.collectedStrikes = new PoisonRequestDetector(clock);
+        this.collectedStrikes = new PoisonRequestDetector(clock, (strike, strikes, own) -> {});
     }
 
     /** Starts reporting to the placement holder. */
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
@@ -89,6 +89,14 @@
         return silenceReported;
     }
 
+    /** Returns how much of the answer has arrived, for logs and metrics. */
+    String answerProgress() {
+        if (firstByteMillis >= 0) {
+            return "body";
+        }
+        return headReceived ? "head" : "nothing";
+    }
+
     ServerEntry server() {
         return choice.server();
     }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Exchange.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Exchange.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.agatehatch.api.fleet.FleetConfig;
+import org.agatehatch.api.fleet.PromptPart;
 import org.agatehatch.api.fleet.RouteSpec;
 import org.agatehatch.api.fleet.ServerEntry;
 import org.agatehatch.api.fleet.WeightedService;
@@ -241,6 +242,7 @@
             context.crashLedger().processDied(attempt.server().processKey());
         }
         if (end == AttemptEnd.BROKEN) {
+            logBrokenAttempt(attempt);
             context.crashLedger().connectionBroken(fingerprint, attempt.server().processKey());
         }
         if (end == AttemptEnd.MISDIRECTED && metadata.generation().isPresent()) {
@@ -452,6 +454,23 @@
                 cause);
     }
 
+    /** Logs what may have crashed the server: requests that crash servers can be told from others by what they share. */
+    private void logBrokenAttempt(Attempt attempt) {
+        context.metrics().attemptBroken(attempt.answerProgress());
+        log.info(
+                "event=attempt_broken id={} process={} received={} first_ms={} took_ms={} request_hash={} prompt_parts={}",
+                metadata.attemptId(),
+                attempt.server().processKey(),
+                attempt.answerProgress(),
+                attempt.firstByteMillis(),
+                attempt.elapsedMillis(),
+                Long.toHexString(fingerprint),
+                metadata.generation()
+                        .map(generation ->
+                                generation.parts().stream().map(PromptPart::id).toList())
+                        .orElse(List.of()));
+    }
+
     /** Builds the request to a backend server: the caller's request without hop-by-hop headers, with the attempt's headers. */
     DefaultFullHttpRequest buildAttemptRequest(ServerEntry server) {
         DefaultFullHttpRequest copy = new DefaultFullHttpRequest(
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestGateway.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestGateway.java
@@ -88,7 +88,7 @@
                 new WindowedRetryBudget(clock, 0.2, retrySlack, 10_000, () -> 1),
                 (service, model, adapter) -> CompletableFuture.completedFuture(-1L),
                 new DemandMeter(38.7, clock),
-                new PoisonRequestDetector(clock),
+                new PoisonRequestDetector(clock, (strike, strikes, own) -> {}),
                 () -> refusing,
                 metrics,
                 ExchangeTimeouts.DEFAULT);
