--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
@@ -57,7 +57,7 @@
 import org.slf4j.LoggerFactory;
 
 /** A node, which follows the platform's store on the control thread and forwards requests on the traffic thread. */
-public final class EdgeNode {
+public final class EdgeNode implements AutoCloseable {
     private static final Logger log = LoggerFactory.getLogger(EdgeNode.class);
 
     private static final int STORE_CONNECT_TIMEOUT_MILLIS = 800;
@@ -78,6 +78,9 @@
     private static final long MEMBERSHIP_RENEWAL_MILLIS = 700;
     private static final long MEMBERSHIP_RENEWAL_MARGIN_MILLIS = 400;
 
+    /** Time for running tasks of the event loop when the node is closed. */
+    private static final long CLOSE_TIMEOUT_MILLIS = 2_000;
+
     private final EdgeSettings settings;
     private final MonotonicClock clock = MonotonicClock.system();
     private final Random random = new Random();
@@ -104,6 +107,7 @@
     private final PoisonRequestDetector crashLedger = new PoisonRequestDetector(clock, this::onStrike);
     private final ResidencyController residencyController;
     private final ResidencyClient residencyClient;
+    private CallerServer callerServer;
     private volatile FleetView fleet = FleetView.EMPTY;
     private volatile NodeView nodes = NodeView.EMPTY;
     private volatile Optional<NodeIdentity> placementHolder = Optional.empty();
@@ -259,19 +263,30 @@
                 .directoryAddress()
                 .ifPresent(address -> new SimpleHttpServer(group, clock, listeners.directoryEndpoint()).bind(address));
         ExchangeContext parts = exchangeParts();
-        CallerServer server =
+        callerServer =
                 new CallerServer(group, clock, () -> config.config().limits(), shutdown::leaving, (request, sink) -> {
                     Exchange exchange = new Exchange(parts, request, shutdown.countInFlight(sink));
                     exchange.start();
                     return exchange;
                 });
-        listeners.callerAddress().ifPresent(server::bind);
+        listeners.callerAddress().ifPresent(callerServer::bind);
         loop.scheduleWithFixedDelay(
                 serverPool::evictUnusable,
                 POOL_EVICTION_INTERVAL_MILLIS,
                 POOL_EVICTION_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
-        shutdown.installShutdownHook(server);
+    }
+
+    /** Makes the process stop gracefully when it is asked to end. Call after {@link #start}. */
+    public void stopGracefullyOnExit() {
+        shutdown.installShutdownHook(callerServer);
+    }
+
+    /** Stops at once: closes all connections and leaves the node's membership to expire. */
+    @Override
+    public void close() {
+        control.close();
+        group.shutdownGracefully(0, CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).syncUninterruptibly();
     }
 
     /**
--- /dev/null
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/Cluster.java
@@ -0,0 +1,185 @@
+package org.agatehatch.gateway;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
+import org.agatehatch.api.fleet.ClientLimits;
+import org.agatehatch.api.fleet.FleetConfig;
+import org.agatehatch.api.fleet.PeerAddress;
+import org.agatehatch.api.fleet.RequestKind;
+import org.agatehatch.api.fleet.ResidencyOrder;
+import org.agatehatch.api.fleet.ResidencyOrders;
+import org.agatehatch.api.fleet.ResidentModel;
+import org.agatehatch.api.fleet.RouteSpec;
+import org.agatehatch.api.fleet.RunnerReport;
+import org.agatehatch.api.fleet.ServerEntry;
+import org.agatehatch.api.fleet.WeightedService;
+import org.agatehatch.gateway.connection.SimpleHttpServer;
+import org.agatehatch.gateway.process.EdgeListeners;
+import org.agatehatch.gateway.process.EdgeNode;
+import org.agatehatch.gateway.process.EdgeSettings;
+import org.agatehatch.gateway.process.PlatformBindings;
+import org.agatehatch.internal.process.NodeIdentity;
+
+/** Several nodes on loopback addresses of their own, with a platform in memory and runners that speak HTTP. */
+final class Cluster implements AutoCloseable {
+    static final String MODEL = "m";
+    static final long ROUTE_TIMEOUT_MILLIS = 6_000;
+
+    private static final long MEMBERSHIP_TTL_MILLIS = 2_500;
+    private static final String SERVICE = "svc";
+    private static final ClientLimits LIMITS = new ClientLimits(8_192, 100_000, 2_000, 20_000);
+
+    final List<RunnerStandIn> runners = new ArrayList<>();
+    private final InMemoryTopic configTopic = new InMemoryTopic();
+    private final InMemoryTopic serverTopic = new InMemoryTopic();
+    private final InMemoryTopic claimTopic = new InMemoryTopic();
+    private final InMemoryNodeGroup group = new InMemoryNodeGroup(MEMBERSHIP_TTL_MILLIS);
+    private final int callerPort = freePort();
+    private final int peerPort = freePort();
+    private final int metricsPort = freePort();
+    private final Map<Integer, EdgeNode> nodes = new TreeMap<>();
+    private int incarnations;
+
+    Cluster() {
+        configTopic.put("config", "1");
+    }
+
+    /** Adds runners that hold the model. */
+    void startRunners(
+            int count,
+            RunnerStandIn.Timing timing,
+            Predicate<String> crashesOn,
+            Supplier<Optional<Double>> limitPerSecondOfFirst)
+            throws IOException {
+        for (int i = 0; i < count; i++) {
+            Supplier<Optional<Double>> limit = i == 0 ? limitPerSecondOfFirst : Optional::empty;
+            runners.add(new RunnerStandIn("r" + runners.size(), serverTopic, timing, crashesOn, limit));
+        }
+    }
+
+    /** Starts a node that does not run. */
+    synchronized void startNode(int index) {
+        NodeIdentity self = new NodeIdentity("n" + index, "d" + index % 2, host(index), "i" + ++incarnations, 100);
+        EdgeSettings settings = new EdgeSettings(
+                self, 0.2, 56, 10_000, MEMBERSHIP_TTL_MILLIS, 8_000, peerPort, List.of(), true, 5, 1.1);
+        EdgeNode node = new EdgeNode(settings, client -> bindings());
+        node.start(new EdgeListeners(
+                Optional.of(new PeerAddress(host(index), callerPort)),
+                Optional.empty(),
+                path -> false,
+                Optional.empty(),
+                path -> new SimpleHttpServer.Response(404, "text/plain", new byte[0]),
+                new PeerAddress(host(index), metricsPort)));
+        nodes.put(index, node);
+    }
+
+    /** Ends a node without notice. */
+    synchronized void killNode(int index) {
+        nodes.remove(index).close();
+    }
+
+    synchronized List<PeerAddress> callerAddresses() {
+        return nodes.keySet().stream()
+                .map(index -> new PeerAddress(host(index), callerPort))
+                .toList();
+    }
+
+    static String serverRecord(String id, int port, int starts) {
+        return id + " " + port + " " + starts;
+    }
+
+    private static String host(int index) {
+        return "127.0.0." + (10 + index);
+    }
+
+    private static int freePort() {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.10"))) {
+            return socket.getLocalPort();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private PlatformBindings bindings() {
+        return new PlatformBindings(
+                configTopic,
+                (key, bytes) -> Optional.of(config()),
+                serverTopic,
+                Cluster::serverEntry,
+                group,
+                claimTopic,
+                new NoOrders(),
+                new TestHeaderCodec());
+    }
+
+    private static FleetConfig config() {
+        List<RouteSpec> routes = List.of(
+                route("ask", RequestKind.STREAM, false, 1),
+                route("resume", RequestKind.STREAM, true, 2),
+                route("safe", RequestKind.IDEMPOTENT, false, 2));
+        return new FleetConfig(1, routes, Map.of(), LIMITS);
+    }
+
+    private static RouteSpec route(String name, RequestKind kind, boolean resumable, int maxAttempts) {
+        return new RouteSpec(
+                name,
+                TestGateway.HOST,
+                "/" + name + "/",
+                kind,
+                ROUTE_TIMEOUT_MILLIS,
+                800,
+                0,
+                List.of(new WeightedService(SERVICE, 1)),
+                maxAttempts,
+                resumable,
+                250);
+    }
+
+    private static Optional<ServerEntry> serverEntry(String key, byte[] record) {
+        String[] fields = new String(record, StandardCharsets.UTF_8).split(" ", -1);
+        return Optional.of(new ServerEntry(
+                fields[0],
+                SERVICE,
+                new PeerAddress("127.0.0.1", Integer.parseInt(fields[1])),
+                "d0",
+                64,
+                false,
+                Long.parseLong(fields[2]),
+                List.of(new ResidentModel(MODEL, 1, Set.of())),
+                Set.of(MODEL)));
+    }
+
+    @Override
+    public synchronized void close() {
+        nodes.values().forEach(EdgeNode::close);
+        runners.forEach(RunnerStandIn::close);
+    }
+
+    /** The runners hold their models from the start and need no orders. */
+    private static final class NoOrders implements ResidencyOrders {
+        @Override
+        public CompletionStage<Reply> order(
+                ServerEntry runner, ResidencyOrder order, long expectedOrders, String holder, long fencingToken) {
+            return CompletableFuture.completedFuture(Reply.HOLDS);
+        }
+
+        @Override
+        public CompletionStage<RunnerReport> report(ServerEntry runner) {
+            return CompletableFuture.completedFuture(
+                    new RunnerReport(runner.startedAtMillis(), 0, false, 0, 0, 0, 232_000, runner.models(), List.of()));
+        }
+    }
+}
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestHeaderCodec.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestHeaderCodec.java
@@ -3,8 +3,12 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.Arrays;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.agatehatch.api.fleet.GenerationRequest;
+import org.agatehatch.api.fleet.PromptPart;
 
 /** Header codec with simple header names for tests. */
 final class TestHeaderCodec implements HeaderCodec {
@@ -14,7 +18,19 @@
         return new RequestMetadata(
                 head.headers().get("x-id", ""),
                 deadline.isEmpty() ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(deadline)),
-                Optional.empty());
+                generation(head.headers()));
+    }
+
+    private static Optional<GenerationRequest> generation(HttpHeaders headers) {
+        if (!headers.contains("x-model")) {
+            return Optional.empty();
+        }
+        List<PromptPart> parts = Arrays.stream(headers.get("x-parts").split(","))
+                .map(part -> part.split(":"))
+                .map(part -> new PromptPart(part[0], Integer.parseInt(part[1])))
+                .toList();
+        int promptTokens = parts.stream().mapToInt(PromptPart::tokens).sum();
+        return Optional.of(new GenerationRequest(headers.get("x-model"), "", promptTokens, 100, parts));
     }
 
     @Override
