Quarantine prompt parts that crash servers

PoisonRequestDetector keyed its strikes by a hash of the whole request. No two of these requests are alike, so none had a second strike; the shared part of their prompts was not recorded. The class: evidence is kept under a key that never occurs again, so that it cannot add up.

CrashingPartDetector keeps the evidence by the shared parts of prompts. Suspected of a crash are the parts of requests whose answers had not begun or had just begun; an answer that survives its beginning clears its parts of earlier crashes. The part that explains most crashes at different times is refused at once, a later part before the parts before it, so that sound requests with the same first part are served. Nodes exchange evidence with random peers, without the placement holder. A verdict ends when the part is cleared by a trial, or when another part explains the same crashes and more. A broken connection is confirmed as a crash by a connection attempt, not by the next request.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/PoisonRequestDetector.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/PoisonRequestDetector.java
@@ -2,28 +2,22 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import org.agatehatch.api.time.MonotonicClock;
 
 /**
  * Detects poison requests, that is requests that crash the backend server they run on, and quarantines them. A request
  * gets a strike if its connection broke and the server's process is known to have died within the confirmation window
- * before or after: the server refused connections, left, or came back as another process. A broken connection alone is no
- * strike, because it does not prove a crash. Not thread-safe.
+ * before or after: the server refused connections, left, or came back as another process. Not thread-safe.
  */
 public final class PoisonRequestDetector {
     /** Number of crashed processes after which a request is refused. */
     static final int QUARANTINE_STRIKES = 2;
 
-    /** Longest time between a broken connection and the death of its server for both to count as one crash. */
-    static final long CONFIRMATION_WINDOW_MILLIS = 5_000;
-
     /** Time after a request's latest strike at which its strikes expire. */
     static final long STRIKE_TTL_MILLIS = 600_000;
 
@@ -50,41 +44,30 @@
         void onStrike(Strike strike, int strikes, boolean own);
     }
 
-    private record BrokenConnection(long fingerprint, long atMillis) {}
-
     private record RequestStrikes(Set<String> processes, long atMillis) {}
 
     private final MonotonicClock clock;
     private final StrikeListener listener;
-    private final Map<String, List<BrokenConnection>> brokenConnectionsByProcess = new HashMap<>();
+    private final CrashCorrelator<Long> crashes;
     private final LinkedHashMap<Long, RequestStrikes> strikesByFingerprint = new LinkedHashMap<>();
-    private final Map<String, Long> deathMillisByProcess = new HashMap<>();
 
     public PoisonRequestDetector(MonotonicClock clock, StrikeListener listener) {
         this.clock = clock;
         this.listener = listener;
+        this.crashes = new CrashCorrelator<>(
+                clock, (fingerprint, process, brokenAtMillis) -> addStrike(new Strike(fingerprint, process), true));
     }
 
     /** Records that a connection broke while a request was running on a server's process. */
     public void connectionBroken(long fingerprint, String process) {
         expireOld();
-        if (deathMillisByProcess.containsKey(process)) {
-            addStrike(new Strike(fingerprint, process), true);
-            return;
-        }
-        brokenConnectionsByProcess
-                .computeIfAbsent(process, name -> new ArrayList<>())
-                .add(new BrokenConnection(fingerprint, clock.millis()));
+        crashes.connectionBroken(fingerprint, process);
     }
 
     /** Records that a server's process has died. */
     public void processDied(String process) {
         expireOld();
-        deathMillisByProcess.put(process, clock.millis());
-        List<BrokenConnection> broken = brokenConnectionsByProcess.remove(process);
-        if (broken != null) {
-            broken.forEach(entry -> addStrike(new Strike(entry.fingerprint(), process), true));
-        }
+        crashes.processDied(process);
     }
 
     /** Records that a request was answered. This removes its strikes unless it is quarantined. */
@@ -133,11 +116,6 @@
 
     private void expireOld() {
         long nowMillis = clock.millis();
-        brokenConnectionsByProcess.values().removeIf(entries -> {
-            entries.removeIf(entry -> nowMillis - entry.atMillis() > CONFIRMATION_WINDOW_MILLIS);
-            return entries.isEmpty();
-        });
-        deathMillisByProcess.values().removeIf(atMillis -> nowMillis - atMillis > CONFIRMATION_WINDOW_MILLIS);
         strikesByFingerprint.values().removeIf(strikes -> nowMillis - strikes.atMillis() >= STRIKE_TTL_MILLIS);
     }
 }
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/PoisonRequestDetectorTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/PoisonRequestDetectorTest.java
@@ -53,7 +53,7 @@
             detector.connectionBroken(INNOCENT, "s" + i + "@1");
             time.advance(1_000);
         }
-        time.advance(PoisonRequestDetector.CONFIRMATION_WINDOW_MILLIS);
+        time.advance(CrashCorrelator.CONFIRMATION_WINDOW_MILLIS);
         for (int i = 0; i < 10; i++) {
             detector.processDied("s" + i + "@1");
         }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/metrics/GatewayMetrics.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/metrics/GatewayMetrics.java
@@ -23,6 +23,8 @@
     private final Counter cutAnswers;
     private final Counter brokenAttempts;
     private final Counter strikes;
+    private final Gauge quarantinedParts;
+    private final Counter refusedForPart;
     private final Histogram firstByteSeconds;
     private final Histogram requestSeconds;
 
@@ -65,6 +67,14 @@
                         "Requests in flight at a server process that is known to have died, by who saw it: this node or a peer")
                 .labelNames("source")
                 .register(registry);
+        quarantinedParts = Gauge.builder()
+                .name("agatehatch_quarantined_prompt_parts")
+                .help("Prompt parts that are kept from servers because they crash them")
+                .register(registry);
+        refusedForPart = Counter.builder()
+                .name("agatehatch_crashing_part_refusals")
+                .help("Requests that were not sent because of a quarantined prompt part")
+                .register(registry);
         firstByteSeconds = Histogram.builder()
                 .name("agatehatch_first_byte_seconds")
                 .help("Time from the send to the first byte of an answer's body")
@@ -120,6 +130,16 @@
         strikes.labelValues(own ? "own" : "peer").inc();
     }
 
+    /** Sets the number of prompt parts in quarantine. */
+    public void partsQuarantined(int count) {
+        quarantinedParts.set(count);
+    }
+
+    /** Counts a request that was not sent because of a quarantined prompt part. */
+    public void crashingPartRefused() {
+        refusedForPart.inc();
+    }
+
     public void connectionsOpened(int count) {
         connections.inc(count);
     }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
@@ -25,10 +25,13 @@
 import org.agatehatch.gateway.connection.SimpleHttpServer;
 import org.agatehatch.gateway.links.TcpPeerTransport;
 import org.agatehatch.gateway.metrics.GatewayMetrics;
+import org.agatehatch.gateway.request.CrashAttribution;
 import org.agatehatch.gateway.request.Exchange;
 import org.agatehatch.gateway.request.ExchangeContext;
 import org.agatehatch.gateway.request.ExchangeTimeouts;
 import org.agatehatch.internal.process.BackendRegistry;
+import org.agatehatch.internal.process.CrashEvidence;
+import org.agatehatch.internal.process.CrashingPartDetector;
 import org.agatehatch.internal.process.DefaultControlThread;
 import org.agatehatch.internal.process.DemandMeter;
 import org.agatehatch.internal.process.EntryNodeSelector;
@@ -43,6 +46,7 @@
 import org.agatehatch.internal.process.PoisonRequestDetector;
 import org.agatehatch.internal.process.RelaySelection;
 import org.agatehatch.internal.process.RelayedTopic;
+import org.agatehatch.internal.process.RendezvousHash;
 import org.agatehatch.internal.process.ResidencyController;
 import org.agatehatch.internal.process.StateMessages;
 import org.agatehatch.internal.process.TopicFollower;
@@ -104,7 +108,11 @@
     private final ResidencyObservations sightings = new ResidencyObservations(clock);
     private final DemandMeter demandMeter = new DemandMeter(ChooserSettings.DEFAULT.prefillTokensPerMilli(), clock);
     private final ServerChooser chooser;
-    private final PoisonRequestDetector crashLedger = new PoisonRequestDetector(clock, this::onStrike);
+    private final PoisonRequestDetector poisonRequests = new PoisonRequestDetector(clock, this::onStrike);
+    private final CrashingPartDetector crashingParts =
+            new CrashingPartDetector(clock, this::ownsTrialsOf, new QuarantineLog());
+    private final CrashAttribution crashes;
+    private final CrashEvidenceExchange crashEvidence;
     private final ResidencyController residencyController;
     private final ResidencyClient residencyClient;
     private CallerServer callerServer;
@@ -122,6 +130,9 @@
         BackendConnectionPool storePool =
                 new BackendConnectionPool(loop, clock, STORE_CONNECT_TIMEOUT_MILLIS, metrics::connectionsOpened);
         serverPool = new BackendConnectionPool(loop, clock, SERVER_CONNECT_TIMEOUT_MILLIS, metrics::connectionsOpened);
+        crashes = new CrashAttribution(poisonRequests, crashingParts, serverPool);
+        crashEvidence = new CrashEvidenceExchange(
+                loop, settings.self(), () -> nodes, settings.peerPort(), crashingParts, random, clock);
         peerTransport = new TcpPeerTransport(group, this::onPeerMessage);
         platform = platformFactory.apply(new PooledHttpClient(loop, storePool));
         configTopic = newRelayedTopic(CONFIG_TOPIC, platform.configTopic(), Arrays::equals);
@@ -149,14 +160,7 @@
                 control,
                 clock,
                 holder -> placementHolder = holder);
-        chooser = new ServerChooser(
-                ChooserSettings.DEFAULT,
-                settings.self().failureDomain(),
-                () -> fleet,
-                sightings,
-                clock,
-                random,
-                this::nodeCount);
+        chooser = newChooser();
         residencyController = newResidencyController();
         residencyClient = new ResidencyClient(
                 loop,
@@ -173,7 +177,7 @@
                 this::nodeCount,
                 new HolderFailureDetector(
                         settings.self(), () -> nodes, () -> placementHolder, claim::takeOverFrom, control, clock),
-                crashLedger,
+                poisonRequests,
                 clock);
         shutdown = new GracefulShutdown(settings.shutdownGraceMillis(), clock, this::leaveGroup);
     }
@@ -202,6 +206,17 @@
                 .equals(platform.serverDecoder().apply("", after));
     }
 
+    private ServerChooser newChooser() {
+        return new ServerChooser(
+                ChooserSettings.DEFAULT,
+                settings.self().failureDomain(),
+                () -> fleet,
+                sightings,
+                clock,
+                random,
+                this::nodeCount);
+    }
+
     private int nodeCount() {
         return nodes.nodes().size();
     }
@@ -249,6 +264,7 @@
         });
         peerTransport.bind(new PeerAddress(settings.self().host(), settings.peerPort()));
         loop.execute(() -> residencyClient.start(peerTransport));
+        loop.execute(() -> crashEvidence.start(peerTransport));
         control.execute(() -> peerBootstrap.start(peerTransport));
         new SimpleHttpServer(group, clock, path -> new SimpleHttpServer.Response(200, "text/plain", metrics.scrape()))
                 .bind(listeners.metricsAddress());
@@ -324,7 +340,7 @@
                 retryBudget,
                 residencyClient,
                 demandMeter,
-                crashLedger,
+                crashes,
                 shutdown::refusingRequests,
                 metrics,
                 ExchangeTimeouts.DEFAULT);
@@ -335,7 +351,7 @@
         fleet = view;
         before.removeAll(processes(view));
         // Draining servers leave the view too. Recording their end is harmless, as their connections do not break.
-        loop.execute(() -> before.forEach(crashLedger::processDied));
+        loop.execute(() -> before.forEach(crashes::processDied));
     }
 
     private void onStrike(PoisonRequestDetector.Strike strike, int strikes, boolean own) {
@@ -348,6 +364,14 @@
                 own ? "own" : "peer");
     }
 
+    private boolean ownsTrialsOf(String part) {
+        List<String> names = nodes.nodes().stream().map(NodeIdentity::name).toList();
+        return names.isEmpty()
+                || RendezvousHash.rank(part, names)
+                        .get(0)
+                        .equals(settings.self().name());
+    }
+
     private static Set<String> processes(FleetView view) {
         Set<String> processes = new HashSet<>();
         view.byService().values().forEach(servers -> servers.forEach(server -> processes.add(server.processKey())));
@@ -374,6 +398,7 @@
                 CompletableFuture.supplyAsync(
                         () -> TopicMessages.encode(answerTopicQuestion(TopicMessages.decodeRequest(message))),
                         control::execute);
+            case CrashEvidence.FULL_EXCHANGE_TYPE, CrashEvidence.RECENT_EXCHANGE_TYPE -> crashEvidence.receive(message);
             default -> residencyClient.receive(message);
         };
     }
@@ -418,4 +443,18 @@
     private long sinceStoreRegainedMillis() {
         return serverFollower.sinceRecoveryMillis();
     }
+
+    private final class QuarantineLog implements CrashingPartDetector.Listener {
+        @Override
+        public void onQuarantine(String part, Set<String> processes) {
+            metrics.partsQuarantined(crashingParts.quarantinedParts().size());
+            log.warn("event=prompt_part_quarantined part={} crashed={}", part, processes);
+        }
+
+        @Override
+        public void onRelease(String part) {
+            metrics.partsQuarantined(crashingParts.quarantinedParts().size());
+            log.info("event=prompt_part_released part={}", part);
+        }
+    }
 }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
@@ -1,10 +1,9 @@
 package org.agatehatch.gateway.request;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.ConnectTimeoutException;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.Future;
-import java.net.ConnectException;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.agatehatch.api.fleet.ServerEntry;
@@ -13,6 +12,7 @@
 import org.agatehatch.gateway.connection.BackendConnectionPool;
 import org.agatehatch.gateway.connection.ResponseListener;
 import org.agatehatch.internal.connection.ServerLoad;
+import org.agatehatch.internal.process.CrashingPartDetector;
 import org.agatehatch.internal.request.AttemptEnd;
 import org.agatehatch.internal.request.ServerChoice;
 
@@ -33,6 +33,8 @@
     private long firstByteMillis = -1;
     private boolean promptReadCounted;
     private boolean headReceived;
+    private boolean bodyDelimited;
+    private boolean survived;
     private boolean connectRefused;
     private boolean reading = true;
     private boolean silenceReported;
@@ -89,6 +91,11 @@
         return silenceReported;
     }
 
+    /** Returns whether the server is known to have survived the beginning of the answer. */
+    boolean survived() {
+        return survived;
+    }
+
     /** Returns how much of the answer has arrived, for logs and metrics. */
     String answerProgress() {
         if (firstByteMillis >= 0) {
@@ -127,7 +134,7 @@
 
     @Override
     public void onFailure(Throwable cause) {
-        connectRefused = cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+        connectRefused = CrashAttribution.isRefusal(cause);
         end(AttemptEnd.NOT_CONNECTED, String.valueOf(cause.getMessage()));
     }
 
@@ -140,6 +147,7 @@
             return Disposition.SKIP;
         }
         headReceived = true;
+        bodyDelimited = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
         lastReceivedMillis = exchange.nowMillis();
         int status = head.status().code();
         if (terms.declaredNotRun() || terms.misdirected()) {
@@ -171,6 +179,9 @@
             return;
         }
         onFirstByte();
+        if (sinceFirstByteMillis() >= CrashingPartDetector.SURVIVAL_MILLIS) {
+            recordSurvival();
+        }
         if (held.isPresent()) {
             if (held.get().add(content)) {
                 exchange.onDelivery(this);
@@ -229,7 +240,8 @@
         if (!failed) {
             exchange.onDelivery(this);
             exchange.context().chooser().succeeded(exchange.service(), server().id(), unexplainedLatencyMillis());
-            exchange.context().crashLedger().requestAnswered(exchange.fingerprint());
+            exchange.context().crashes().requestAnswered(exchange.fingerprint());
+            recordEndOfAnswer();
         }
         end(
                 failed ? AttemptEnd.SERVER_ERROR : AttemptEnd.ANSWERED,
@@ -280,6 +292,29 @@
                 .ifPresent(generation -> exchange.context().demandMeter().requestEnded(server().service(), generation));
     }
 
+    /**
+     * Records a complete answer as proof that the server survives the request. An answer that ends with its connection looks
+     * the same if the server crashed.
+     */
+    private void recordEndOfAnswer() {
+        if (bodyDelimited || sinceFirstByteMillis() >= CrashingPartDetector.SURVIVAL_MILLIS) {
+            recordSurvival();
+        } else {
+            exchange.recordBrokenConnection(this);
+        }
+    }
+
+    private void recordSurvival() {
+        if (!survived) {
+            survived = true;
+            exchange.recordSurvival(startedMillis + firstByteMillis);
+        }
+    }
+
+    private long sinceFirstByteMillis() {
+        return elapsedMillis() - firstByteMillis;
+    }
+
     private void onFirstByte() {
         if (firstByteMillis >= 0) {
             return;
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Exchange.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Exchange.java
@@ -26,6 +26,7 @@
 import org.agatehatch.gateway.connection.CallerRequest;
 import org.agatehatch.gateway.connection.RequestHandler;
 import org.agatehatch.gateway.connection.ResponseSink;
+import org.agatehatch.internal.process.CrashingPartDetector;
 import org.agatehatch.internal.request.AttemptEnd;
 import org.agatehatch.internal.request.ForwardingStateMachine;
 import org.agatehatch.internal.request.RequestHash;
@@ -72,6 +73,7 @@
     private ResponseRelay relay;
     private long deadlineMillis;
     private long fingerprint;
+    private List<String> sharedParts = List.of();
     private Optional<Attempt> currentAttempt = Optional.empty();
     private Optional<Attempt> successor = Optional.empty();
     private Optional<HeldResponse> heldFailure = Optional.empty();
@@ -124,9 +126,11 @@
         relay = new ResponseRelay(sink, route.streaming() && route.resumable());
         fingerprint =
                 RequestHash.of(request.head().method().name(), request.head().uri(), request.body());
+        sharedParts =
+                metadata.generation().map(CrashingPartDetector::sharedParts).orElse(List.of());
         long waitMillis = Math.min(metadata.timeoutMillis().orElse(Long.MAX_VALUE), route.timeoutMillis());
         deadlineMillis = arrivedMillis + waitMillis;
-        if (context.crashLedger().isQuarantined(fingerprint)) {
+        if (context.crashes().isQuarantined(fingerprint)) {
             refuse("crashes_servers", route.timeoutMillis());
             return;
         }
@@ -160,6 +164,13 @@
         if (finished) {
             return;
         }
+        Optional<String> blockingPart = context.crashes().blockingPart(sharedParts);
+        if (blockingPart.isPresent()) {
+            lastRetryAfterMillis = route.timeoutMillis();
+            context.metrics().crashingPartRefused();
+            perform(machine.onNoServer(), "crashing_prompt_part part=" + blockingPart.get());
+            return;
+        }
         ServerChoice choice = chooseServer();
         if (choice instanceof ServerChoice.Chosen chosen) {
             if (triedServerIds.isEmpty()) {
@@ -239,11 +250,11 @@
             context.chooser().failed(service, attempt.server().id());
         }
         if (end == AttemptEnd.NOT_CONNECTED && attempt.connectRefused()) {
-            context.crashLedger().processDied(attempt.server().processKey());
+            context.crashes().processDied(attempt.server().processKey());
         }
         if (end == AttemptEnd.BROKEN) {
             logBrokenAttempt(attempt);
-            context.crashLedger().connectionBroken(fingerprint, attempt.server().processKey());
+            recordBrokenConnection(attempt);
         }
         if (end == AttemptEnd.MISDIRECTED && metadata.generation().isPresent()) {
             context.chooser()
@@ -351,6 +362,9 @@
         if (!context.retryBudget().isAvailable(service)) {
             return "no_retry_budget";
         }
+        if (context.crashes().blockingPart(sharedParts).isPresent()) {
+            return "crashing_prompt_part";
+        }
         triedServerIds.add(silent.server().id());
         ServerChoice choice = chooseServer();
         if (choice instanceof ServerChoice.Chosen chosen) {
@@ -454,6 +468,16 @@
                 cause);
     }
 
+    /** Records that the connection of an attempt broke, or that its answer may have been broken off without a trace. */
+    void recordBrokenConnection(Attempt attempt) {
+        context.crashes().connectionBroken(fingerprint, attempt.survived() ? List.of() : sharedParts, attempt.server());
+    }
+
+    /** Records that the server of an attempt survived the beginning of its answer. */
+    void recordSurvival(long begunMillis) {
+        context.crashes().answerSurvived(sharedParts, begunMillis);
+    }
+
     /** Logs what may have crashed the server: requests that crash servers can be told from others by what they share. */
     private void logBrokenAttempt(Attempt attempt) {
         context.metrics().attemptBroken(attempt.answerProgress());
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ExchangeContext.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ExchangeContext.java
@@ -8,7 +8,6 @@
 import org.agatehatch.gateway.connection.BackendConnectionPool;
 import org.agatehatch.gateway.metrics.GatewayMetrics;
 import org.agatehatch.internal.process.DemandMeter;
-import org.agatehatch.internal.process.PoisonRequestDetector;
 import org.agatehatch.internal.request.ServerChooser;
 import org.agatehatch.internal.request.WindowedRetryBudget;
 import org.agatehatch.internal.version.ActiveConfig;
@@ -29,7 +28,7 @@
         WindowedRetryBudget retryBudget,
         ResidencyRequester residencyRequester,
         DemandMeter demandMeter,
-        PoisonRequestDetector crashLedger,
+        CrashAttribution crashes,
         BooleanSupplier refusingRequests,
         GatewayMetrics metrics,
         ExchangeTimeouts timeouts) {}
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestGateway.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestGateway.java
@@ -22,9 +22,11 @@
 import org.agatehatch.gateway.connection.BackendConnectionPool;
 import org.agatehatch.gateway.connection.CallerServer;
 import org.agatehatch.gateway.metrics.GatewayMetrics;
+import org.agatehatch.gateway.request.CrashAttribution;
 import org.agatehatch.gateway.request.Exchange;
 import org.agatehatch.gateway.request.ExchangeContext;
 import org.agatehatch.gateway.request.ExchangeTimeouts;
+import org.agatehatch.internal.process.CrashingPartDetector;
 import org.agatehatch.internal.process.DemandMeter;
 import org.agatehatch.internal.process.FleetView;
 import org.agatehatch.internal.process.LoadAggregator;
@@ -77,6 +79,7 @@
         ResidencyObservations sightings = new ResidencyObservations(clock);
         chooser =
                 new ServerChooser(ChooserSettings.DEFAULT, "d", () -> fleet, sightings, clock, new Random(1), () -> 1);
+        BackendConnectionPool pool = new BackendConnectionPool(loop, clock, 250, opened -> {});
         ExchangeContext parts = new ExchangeContext(
                 loop,
                 clock,
@@ -84,11 +87,14 @@
                 new TestHeaderCodec(),
                 config,
                 chooser,
-                new BackendConnectionPool(loop, clock, 250, opened -> {}),
+                pool,
                 new WindowedRetryBudget(clock, 0.2, retrySlack, 10_000, () -> 1),
                 (service, model, adapter) -> CompletableFuture.completedFuture(-1L),
                 new DemandMeter(38.7, clock),
-                new PoisonRequestDetector(clock, (strike, strikes, own) -> {}),
+                new CrashAttribution(
+                        new PoisonRequestDetector(clock, (strike, strikes, own) -> {}),
+                        new CrashingPartDetector(clock, part -> false, new NoQuarantineListener()),
+                        pool),
                 () -> refusing,
                 metrics,
                 ExchangeTimeouts.DEFAULT);
@@ -145,4 +151,12 @@
     public void close() {
         group.shutdownGracefully();
     }
+
+    private static final class NoQuarantineListener implements CrashingPartDetector.Listener {
+        @Override
+        public void onQuarantine(String part, Set<String> processes) {}
+
+        @Override
+        public void onRelease(String part) {}
+    }
 }
