Read the limits that servers name, log them and count the requests to limited servers

No line showed whether a node had heard of a server's limit, and no metric how many requests it sent there. Nothing acts on the limits yet.

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/HeaderCodec.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/HeaderCodec.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.agatehatch.api.fleet.GenerationRequest;
 
@@ -35,8 +36,15 @@
      * @param sealed whether the response carries a backend server's signature
      * @param declaredNotRun whether the server declares that it did not run the request
      * @param misdirected whether another server runs at the address, or the server does not hold the model
+     * @param limitPerSecond requests per second that the server takes from all nodes together, 0 or more; empty if it states
+     *     no limit
      */
-    record ResponseMetadata(String attemptId, boolean sealed, boolean declaredNotRun, boolean misdirected) {}
+    record ResponseMetadata(
+            String attemptId,
+            boolean sealed,
+            boolean declaredNotRun,
+            boolean misdirected,
+            OptionalDouble limitPerSecond) {}
 
     /**
      * Reads a caller's request headers.
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/metrics/GatewayMetrics.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/metrics/GatewayMetrics.java
@@ -25,56 +25,41 @@
     private final Counter strikes;
     private final Gauge quarantinedParts;
     private final Counter refusedForPart;
+    private final Gauge limitedServers;
+    private final Counter sentToLimitedServers;
     private final Histogram firstByteSeconds;
     private final Histogram requestSeconds;
 
     public GatewayMetrics() {
-        inFlight = Gauge.builder()
-                .name("agatehatch_requests_in_flight")
-                .help("Requests that are being worked on")
-                .register(registry);
-        answers = Counter.builder()
-                .name("agatehatch_answers")
-                .help("Answers by status; 0 stands for callers who left")
-                .labelNames("status")
-                .register(registry);
-        connections = Counter.builder()
-                .name("agatehatch_backend_connections")
-                .help("Connections opened to backend servers and the store")
-                .register(registry);
-        orders = Counter.builder()
-                .name("agatehatch_orders")
-                .help("Orders sent to runners, by reply")
-                .labelNames("reply")
-                .register(registry);
-        silentAttempts = Counter.builder()
-                .name("agatehatch_silent_attempts")
-                .help("Attempts at a backend server that received no data for longer than the limit of their route")
-                .register(registry);
-        cutAnswers = Counter.builder()
-                .name("agatehatch_cut_answers")
-                .help("Answers that were cut after they had begun, by the end of the last attempt")
-                .labelNames("cause")
-                .register(registry);
-        brokenAttempts = Counter.builder()
-                .name("agatehatch_broken_attempts")
-                .help("Attempts whose connection broke, by what had arrived of the answer: nothing, head or body")
-                .labelNames("received")
-                .register(registry);
-        strikes = Counter.builder()
-                .name("agatehatch_crash_strikes")
-                .help(
-                        "Requests in flight at a server process that is known to have died, by who saw it: this node or a peer")
-                .labelNames("source")
-                .register(registry);
-        quarantinedParts = Gauge.builder()
-                .name("agatehatch_quarantined_prompt_parts")
-                .help("Prompt parts that are kept from servers because they crash them")
-                .register(registry);
-        refusedForPart = Counter.builder()
-                .name("agatehatch_crashing_part_refusals")
-                .help("Requests that were not sent because of a quarantined prompt part")
-                .register(registry);
+        inFlight = gauge("agatehatch_requests_in_flight", "Requests that are being worked on");
+        answers = counter("agatehatch_answers", "Answers by status; 0 stands for callers who left", "status");
+        connections = counter("agatehatch_backend_connections", "Connections opened to backend servers and the store");
+        orders = counter("agatehatch_orders", "Orders sent to runners, by reply", "reply");
+        silentAttempts = counter(
+                "agatehatch_silent_attempts",
+                "Attempts at a backend server that received no data for longer than the limit of their route");
+        cutAnswers = counter(
+                "agatehatch_cut_answers",
+                "Answers that were cut after they had begun, by the end of the last attempt",
+                "cause");
+        brokenAttempts = counter(
+                "agatehatch_broken_attempts",
+                "Attempts whose connection broke, by what had arrived of the answer: nothing, head or body",
+                "received");
+        strikes = counter(
+                "agatehatch_crash_strikes",
+                "Requests in flight at a server process that is known to have died, by who saw it: this node or a peer",
+                "source");
+        quarantinedParts = gauge(
+                "agatehatch_quarantined_prompt_parts",
+                "Prompt parts that are kept from servers because they crash them");
+        refusedForPart = counter(
+                "agatehatch_crashing_part_refusals",
+                "Requests that were not sent because of a quarantined prompt part");
+        limitedServers =
+                gauge("agatehatch_limited_servers", "Server processes that name a limit of requests per second");
+        sentToLimitedServers =
+                counter("agatehatch_limited_server_sends", "Requests sent to server processes that name a limit");
         firstByteSeconds = Histogram.builder()
                 .name("agatehatch_first_byte_seconds")
                 .help("Time from the send to the first byte of an answer's body")
@@ -89,6 +74,14 @@
                 .register(registry);
     }
 
+    private Counter counter(String name, String help, String... labels) {
+        return Counter.builder().name(name).help(help).labelNames(labels).register(registry);
+    }
+
+    private Gauge gauge(String name, String help) {
+        return Gauge.builder().name(name).help(help).register(registry);
+    }
+
     /** Counts a request as in flight. */
     public void requestStarted() {
         inFlight.inc();
@@ -140,6 +133,16 @@
         refusedForPart.inc();
     }
 
+    /** Sets the number of server processes that name a limit. */
+    public void serversLimited(int count) {
+        limitedServers.set(count);
+    }
+
+    /** Counts a request sent to a server that names a limit. */
+    public void sentToLimitedServer() {
+        sentToLimitedServers.inc();
+    }
+
     public void connectionsOpened(int count) {
         connections.inc(count);
     }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -55,6 +56,7 @@
 import org.agatehatch.internal.request.ChooserSettings;
 import org.agatehatch.internal.request.ResidencyObservations;
 import org.agatehatch.internal.request.ServerChooser;
+import org.agatehatch.internal.request.ServerLimits;
 import org.agatehatch.internal.request.WindowedRetryBudget;
 import org.agatehatch.internal.version.ActiveConfig;
 import org.slf4j.Logger;
@@ -112,6 +114,7 @@
     private final CrashingPartDetector crashingParts =
             new CrashingPartDetector(clock, this::ownsTrialsOf, new QuarantineLog());
     private final CrashAttribution crashes;
+    private final ServerLimits serverLimits = new ServerLimits(clock, this::onLimit);
     private final CrashEvidenceExchange crashEvidence;
     private final ResidencyController residencyController;
     private final ResidencyClient residencyClient;
@@ -341,6 +344,7 @@
                 residencyClient,
                 demandMeter,
                 crashes,
+                serverLimits,
                 shutdown::refusingRequests,
                 metrics,
                 ExchangeTimeouts.DEFAULT);
@@ -351,7 +355,11 @@
         fleet = view;
         before.removeAll(processes(view));
         // Draining servers leave the view too. Recording their end is harmless, as their connections do not break.
-        loop.execute(() -> before.forEach(crashes::processDied));
+        loop.execute(() -> {
+            before.forEach(crashes::processDied);
+            serverLimits.retain(processes(view));
+            metrics.serversLimited(serverLimits.size());
+        });
     }
 
     private void onStrike(PoisonRequestDetector.Strike strike, int strikes, boolean own) {
@@ -364,6 +372,14 @@
                 own ? "own" : "peer");
     }
 
+    private void onLimit(String process, OptionalDouble perSecond) {
+        metrics.serversLimited(serverLimits.size());
+        log.info(
+                "event=server_limit process={} per_second={}",
+                process,
+                perSecond.isPresent() ? perSecond.getAsDouble() : "none");
+    }
+
     private boolean ownsTrialsOf(String part) {
         List<String> names = nodes.nodes().stream().map(NodeIdentity::name).toList();
         return names.isEmpty()
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
@@ -128,6 +128,9 @@
         }
         connection = Optional.of(acquired);
         exchange.onSent(this);
+        if (exchange.context().serverLimits().perSecond(server().processKey()).isPresent()) {
+            exchange.context().metrics().sentToLimitedServer();
+        }
         startSilenceTimer();
         acquired.send(exchange.buildAttemptRequest(choice.server()), this);
     }
@@ -150,6 +153,7 @@
         bodyDelimited = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
         lastReceivedMillis = exchange.nowMillis();
         int status = head.status().code();
+        recordLimit(terms);
         if (terms.declaredNotRun() || terms.misdirected()) {
             declaredEnd = Optional.of(terms.misdirected() ? AttemptEnd.MISDIRECTED : AttemptEnd.REFUSED);
             return Disposition.ACCEPT;
@@ -172,6 +176,13 @@
         return Disposition.ACCEPT;
     }
 
+    /** Only an answer with the server's signature shows by the absence of a limit that the server has none. */
+    private void recordLimit(HeaderCodec.ResponseMetadata terms) {
+        if (!terms.misdirected() && (terms.sealed() || terms.limitPerSecond().isPresent())) {
+            exchange.context().serverLimits().answered(server(), terms.limitPerSecond(), startedMillis);
+        }
+    }
+
     @Override
     public void onContent(ByteBuf content) {
         lastReceivedMillis = exchange.nowMillis();
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ExchangeContext.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ExchangeContext.java
@@ -9,6 +9,7 @@
 import org.agatehatch.gateway.metrics.GatewayMetrics;
 import org.agatehatch.internal.process.DemandMeter;
 import org.agatehatch.internal.request.ServerChooser;
+import org.agatehatch.internal.request.ServerLimits;
 import org.agatehatch.internal.request.WindowedRetryBudget;
 import org.agatehatch.internal.version.ActiveConfig;
 
@@ -29,6 +30,7 @@
         ResidencyRequester residencyRequester,
         DemandMeter demandMeter,
         CrashAttribution crashes,
+        ServerLimits serverLimits,
         BooleanSupplier refusingRequests,
         GatewayMetrics metrics,
         ExchangeTimeouts timeouts) {}
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestGateway.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestGateway.java
@@ -34,6 +34,7 @@
 import org.agatehatch.internal.request.ChooserSettings;
 import org.agatehatch.internal.request.ResidencyObservations;
 import org.agatehatch.internal.request.ServerChooser;
+import org.agatehatch.internal.request.ServerLimits;
 import org.agatehatch.internal.request.WindowedRetryBudget;
 import org.agatehatch.internal.version.ActiveConfig;
 
@@ -95,6 +96,7 @@
                         new PoisonRequestDetector(clock, (strike, strikes, own) -> {}),
                         new CrashingPartDetector(clock, part -> false, new NoQuarantineListener()),
                         pool),
+                new ServerLimits(clock, (process, perSecond) -> {}),
                 () -> refusing,
                 metrics,
                 ExchangeTimeouts.DEFAULT);
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestHeaderCodec.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestHeaderCodec.java
@@ -6,6 +6,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.agatehatch.api.fleet.GenerationRequest;
 import org.agatehatch.api.fleet.PromptPart;
@@ -49,6 +50,9 @@
                 head.headers().get("x-id", ""),
                 head.headers().contains("x-seal"),
                 head.headers().contains("x-not-run"),
-                head.status().code() == 421);
+                head.status().code() == 421,
+                head.headers().contains("x-limit")
+                        ? OptionalDouble.of(Double.parseDouble(head.headers().get("x-limit")))
+                        : OptionalDouble.empty());
     }
 }
