Keep the requests of all nodes within the limit that a server names

No node read the header: it passed through to the caller, and routing went on by predicted time. The class: a limit that holds for all nodes together was neither read nor shared. In the failing tests, every node had the header in its first answer from the server and sent on.

A node that hears of a limit tells all others at once and once a second while answers go on to name it. One node, derived from the group for each server process, grants the permits of the server to all nodes, evenly spaced, without bursts, and starts with a pause, so that a successor does not grant beside its predecessor. Every send needs one, retries included; a second attempt beside a silent one avoids limited servers. A request without a permit goes to another server; only if there is none it waits up to 1 s, and is refused with the time of the next permit. 0.9 of the limit is granted, the rest is for orders and reports. An answer without a limit ends it, if its request was sent after the limit was last heard of; a limit below 0.2 a second lets a request pass every 5 s, so that its end is learned.

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
@@ -38,6 +38,7 @@
 import org.agatehatch.internal.process.EntryNodeSelector;
 import org.agatehatch.internal.process.FleetView;
 import org.agatehatch.internal.process.HolderFailureDetector;
+import org.agatehatch.internal.process.LimitMessages;
 import org.agatehatch.internal.process.LoadAggregator;
 import org.agatehatch.internal.process.MembershipSettings;
 import org.agatehatch.internal.process.NodeIdentity;
@@ -54,6 +55,7 @@
 import org.agatehatch.internal.process.TopicFollowerSettings;
 import org.agatehatch.internal.process.TopicMessages;
 import org.agatehatch.internal.request.ChooserSettings;
+import org.agatehatch.internal.request.RequestPacer;
 import org.agatehatch.internal.request.ResidencyObservations;
 import org.agatehatch.internal.request.ServerChooser;
 import org.agatehatch.internal.request.ServerLimits;
@@ -115,6 +117,8 @@
             new CrashingPartDetector(clock, this::ownsTrialsOf, new QuarantineLog());
     private final CrashAttribution crashes;
     private final ServerLimits serverLimits = new ServerLimits(clock, this::onLimit);
+    private final RequestPacer pacer = new RequestPacer(clock);
+    private final LimitCoordinator limitCoordinator;
     private final CrashEvidenceExchange crashEvidence;
     private final ResidencyController residencyController;
     private final ResidencyClient residencyClient;
@@ -136,6 +140,8 @@
         crashes = new CrashAttribution(poisonRequests, crashingParts, serverPool);
         crashEvidence = new CrashEvidenceExchange(
                 loop, settings.self(), () -> nodes, settings.peerPort(), crashingParts, random, clock);
+        limitCoordinator =
+                new LimitCoordinator(loop, settings.self(), () -> nodes, settings.peerPort(), serverLimits, pacer);
         peerTransport = new TcpPeerTransport(group, this::onPeerMessage);
         platform = platformFactory.apply(new PooledHttpClient(loop, storePool));
         configTopic = newRelayedTopic(CONFIG_TOPIC, platform.configTopic(), Arrays::equals);
@@ -268,6 +274,7 @@
         peerTransport.bind(new PeerAddress(settings.self().host(), settings.peerPort()));
         loop.execute(() -> residencyClient.start(peerTransport));
         loop.execute(() -> crashEvidence.start(peerTransport));
+        loop.execute(() -> limitCoordinator.start(peerTransport));
         control.execute(() -> peerBootstrap.start(peerTransport));
         new SimpleHttpServer(group, clock, path -> new SimpleHttpServer.Response(200, "text/plain", metrics.scrape()))
                 .bind(listeners.metricsAddress());
@@ -345,6 +352,7 @@
                 demandMeter,
                 crashes,
                 serverLimits,
+                limitCoordinator,
                 shutdown::refusingRequests,
                 metrics,
                 ExchangeTimeouts.DEFAULT);
@@ -358,6 +366,7 @@
         loop.execute(() -> {
             before.forEach(crashes::processDied);
             serverLimits.retain(processes(view));
+            pacer.retain(processes(view));
             metrics.serversLimited(serverLimits.size());
         });
     }
@@ -372,12 +381,16 @@
                 own ? "own" : "peer");
     }
 
-    private void onLimit(String process, OptionalDouble perSecond) {
+    private void onLimit(String process, OptionalDouble perSecond, boolean own) {
         metrics.serversLimited(serverLimits.size());
         log.info(
-                "event=server_limit process={} per_second={}",
+                "event=server_limit process={} per_second={} source={}",
                 process,
-                perSecond.isPresent() ? perSecond.getAsDouble() : "none");
+                perSecond.isPresent() ? perSecond.getAsDouble() : "none",
+                own ? "own" : "peer");
+        if (own) {
+            limitCoordinator.tellOthers(process, perSecond);
+        }
     }
 
     private boolean ownsTrialsOf(String part) {
@@ -415,6 +428,7 @@
                         () -> TopicMessages.encode(answerTopicQuestion(TopicMessages.decodeRequest(message))),
                         control::execute);
             case CrashEvidence.FULL_EXCHANGE_TYPE, CrashEvidence.RECENT_EXCHANGE_TYPE -> crashEvidence.receive(message);
+            case LimitMessages.NOTICE_TYPE, LimitMessages.PERMIT_REQUEST_TYPE -> limitCoordinator.receive(message);
             default -> residencyClient.receive(message);
         };
     }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
@@ -4,8 +4,10 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.Future;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.agatehatch.api.fleet.PromptPart;
 import org.agatehatch.api.fleet.ServerEntry;
 import org.agatehatch.gateway.HeaderCodec;
 import org.agatehatch.gateway.connection.BackendConnection;
@@ -15,9 +17,13 @@
 import org.agatehatch.internal.process.CrashingPartDetector;
 import org.agatehatch.internal.request.AttemptEnd;
 import org.agatehatch.internal.request.ServerChoice;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** One attempt to run a request at one backend server. */
 final class Attempt implements ResponseListener, BackendConnectionPool.AcquireListener {
+    private static final Logger log = LoggerFactory.getLogger(Attempt.class);
+
     private static final int FIRST_SERVER_ERROR_STATUS = 500;
     private static final int FIRST_REDIRECT_STATUS = 300;
 
@@ -104,6 +110,23 @@
         return headReceived ? "head" : "nothing";
     }
 
+    /** Logs what may have crashed the server: requests that crash servers can be told from others by what they share. */
+    void logBroken() {
+        log.info(
+                "event=attempt_broken id={} process={} received={} first_ms={} took_ms={} request_hash={} prompt_parts={}",
+                exchange.metadata().attemptId(),
+                server().processKey(),
+                answerProgress(),
+                firstByteMillis,
+                elapsedMillis(),
+                Long.toHexString(exchange.fingerprint()),
+                exchange.metadata()
+                        .generation()
+                        .map(generation ->
+                                generation.parts().stream().map(PromptPart::id).toList())
+                        .orElse(List.of()));
+    }
+
     ServerEntry server() {
         return choice.server();
     }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Exchange.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Exchange.java
@@ -17,7 +17,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.agatehatch.api.fleet.FleetConfig;
-import org.agatehatch.api.fleet.PromptPart;
 import org.agatehatch.api.fleet.RouteSpec;
 import org.agatehatch.api.fleet.ServerEntry;
 import org.agatehatch.api.fleet.WeightedService;
@@ -69,6 +68,7 @@
     private RouteSpec route;
     private FleetConfig config;
     private String service = "";
+    private final ServerSelection selection;
     private ForwardingStateMachine machine;
     private ResponseRelay relay;
     private long deadlineMillis;
@@ -87,6 +87,7 @@
         this.request = request;
         this.sink = sink;
         this.arrivedMillis = request.arrivedNanos() / 1_000_000;
+        this.selection = new ServerSelection(parts, this::chooseServer, this::remainingMillis);
     }
 
     /** Starts processing the request. */
@@ -171,16 +172,15 @@
             perform(machine.onNoServer(), "crashing_prompt_part part=" + blockingPart.get());
             return;
         }
-        ServerChoice choice = chooseServer();
+        selection.select(this::onChoice);
+    }
+
+    private void onChoice(ServerChoice choice) {
+        if (finished) {
+            return;
+        }
         if (choice instanceof ServerChoice.Chosen chosen) {
-            if (triedServerIds.isEmpty()) {
-                metadata.generation()
-                        .ifPresent(generation ->
-                                context.demandMeter().add(service, generation, chosen.uncachedPromptTokens()));
-            }
-            Attempt attempt = new Attempt(this, chosen);
-            currentAttempt = Optional.of(attempt);
-            attempt.connect();
+            sendTo(chosen);
         } else if (choice instanceof ServerChoice.NotResident missing) {
             onNotResident(missing);
         } else if (choice instanceof ServerChoice.Unavailable unavailable) {
@@ -190,13 +190,26 @@
         }
     }
 
-    private ServerChoice chooseServer() {
+    private void sendTo(ServerChoice.Chosen chosen) {
+        if (triedServerIds.isEmpty()) {
+            metadata.generation()
+                    .ifPresent(generation ->
+                            context.demandMeter().add(service, generation, chosen.uncachedPromptTokens()));
+        }
+        Attempt attempt = new Attempt(this, chosen);
+        currentAttempt = Optional.of(attempt);
+        attempt.connect();
+    }
+
+    private ServerChoice chooseServer(Set<String> excludedServerIds) {
+        Set<String> unavailableServerIds = new HashSet<>(triedServerIds);
+        unavailableServerIds.addAll(excludedServerIds);
         return context.chooser()
                 .choose(new ServerChoiceRequest(
                         route,
                         service,
                         metadata.generation(),
-                        Set.copyOf(triedServerIds),
+                        unavailableServerIds,
                         remainingMillis(),
                         request.body().length));
     }
@@ -253,7 +266,8 @@
             context.crashes().processDied(attempt.server().processKey());
         }
         if (end == AttemptEnd.BROKEN) {
-            logBrokenAttempt(attempt);
+            context.metrics().attemptBroken(attempt.answerProgress());
+            attempt.logBroken();
             recordBrokenConnection(attempt);
         }
         if (end == AttemptEnd.MISDIRECTED && metadata.generation().isPresent()) {
@@ -366,7 +380,7 @@
             return "crashing_prompt_part";
         }
         triedServerIds.add(silent.server().id());
-        ServerChoice choice = chooseServer();
+        ServerChoice choice = selection.selectUnlimited();
         if (choice instanceof ServerChoice.Chosen chosen) {
             context.retryBudget().tryTake(service);
             Attempt attempt = new Attempt(this, chosen);
@@ -478,23 +492,6 @@
         context.crashes().answerSurvived(sharedParts, begunMillis);
     }
 
-    /** Logs what may have crashed the server: requests that crash servers can be told from others by what they share. */
-    private void logBrokenAttempt(Attempt attempt) {
-        context.metrics().attemptBroken(attempt.answerProgress());
-        log.info(
-                "event=attempt_broken id={} process={} received={} first_ms={} took_ms={} request_hash={} prompt_parts={}",
-                metadata.attemptId(),
-                attempt.server().processKey(),
-                attempt.answerProgress(),
-                attempt.firstByteMillis(),
-                attempt.elapsedMillis(),
-                Long.toHexString(fingerprint),
-                metadata.generation()
-                        .map(generation ->
-                                generation.parts().stream().map(PromptPart::id).toList())
-                        .orElse(List.of()));
-    }
-
     /** Builds the request to a backend server: the caller's request without hop-by-hop headers, with the attempt's headers. */
     DefaultFullHttpRequest buildAttemptRequest(ServerEntry server) {
         DefaultFullHttpRequest copy = new DefaultFullHttpRequest(
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ExchangeContext.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ExchangeContext.java
@@ -31,6 +31,7 @@
         DemandMeter demandMeter,
         CrashAttribution crashes,
         ServerLimits serverLimits,
+        PermitRequester permitRequester,
         BooleanSupplier refusingRequests,
         GatewayMetrics metrics,
         ExchangeTimeouts timeouts) {}
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestGateway.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestGateway.java
@@ -32,6 +32,7 @@
 import org.agatehatch.internal.process.LoadAggregator;
 import org.agatehatch.internal.process.PoisonRequestDetector;
 import org.agatehatch.internal.request.ChooserSettings;
+import org.agatehatch.internal.request.RequestPacer;
 import org.agatehatch.internal.request.ResidencyObservations;
 import org.agatehatch.internal.request.ServerChooser;
 import org.agatehatch.internal.request.ServerLimits;
@@ -96,7 +97,9 @@
                         new PoisonRequestDetector(clock, (strike, strikes, own) -> {}),
                         new CrashingPartDetector(clock, part -> false, new NoQuarantineListener()),
                         pool),
-                new ServerLimits(clock, (process, perSecond) -> {}),
+                new ServerLimits(clock, (process, perSecond, own) -> {}),
+                (process, limitPerSecond, maxDelayMillis) ->
+                        CompletableFuture.completedFuture(new RequestPacer.Permit(true, 0)),
                 () -> refusing,
                 metrics,
                 ExchangeTimeouts.DEFAULT);
