Take a stream that ends within an event as broken off

A stream may come with neither a length nor chunks and end with its connection. Such streams are cut now, or answered with 502 if no event has arrived, and count as broken connections, which the attribution of crashes relies on.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/request/EventSplitter.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/request/EventSplitter.java
@@ -24,7 +24,7 @@
     public record Event(String id, byte[] bytes) {}
 
     private final ByteArrayOutputStream partial = new ByteArrayOutputStream();
-    private boolean lineEmpty = true;
+    private final EventBoundary boundary = new EventBoundary();
 
     /**
      * Adds bytes and returns the events that they complete.
@@ -35,17 +35,9 @@
         List<Event> complete = new ArrayList<>();
         for (byte b : bytes) {
             partial.write(b);
-            if (b == '\r') {
-                continue;
-            }
-            if (b != '\n') {
-                lineEmpty = false;
-                continue;
-            }
-            if (lineEmpty) {
+            if (boundary.add(b)) {
                 complete.add(takeEvent());
             }
-            lineEmpty = true;
         }
         if (partial.size() > MAX_EVENT_BYTES) {
             throw new IllegalStateException(
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
@@ -40,6 +40,7 @@
     private boolean promptReadCounted;
     private boolean headReceived;
     private boolean bodyDelimited;
+    private boolean stream;
     private boolean survived;
     private boolean connectRefused;
     private boolean reading = true;
@@ -190,7 +191,7 @@
             abort(AttemptEnd.BROKEN, "status " + status + " in place of the rest of the stream");
             return Disposition.ACCEPT;
         }
-        boolean stream = success && exchange.route().streaming();
+        stream = success && exchange.route().streaming();
         if (exchange.isSuccessor(this)) {
             held = Optional.of(new HeldResponse(head, stream));
         } else {
@@ -261,6 +262,10 @@
             end(declaredEnd.get(), "status " + exchange.relay().status());
             return;
         }
+        if (stream && !bodyDelimited && firstByteMillis < 0) {
+            end(AttemptEnd.BROKEN, "connection closed before the first event");
+            return;
+        }
         onFirstByte();
         if (held.isPresent() && !endHeldResponse(held.get())) {
             return;
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ResponseRelay.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ResponseRelay.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.io.ByteArrayOutputStream;
 import org.agatehatch.gateway.connection.ResponseSink;
+import org.agatehatch.internal.request.EventBoundary;
 import org.agatehatch.internal.request.EventSplitter;
 
 /**
@@ -19,9 +20,13 @@
     /** Plain responses are some KB; a hundred incomplete ones of this size fit a heap of 128 MiB. */
     static final int MAX_PLAIN_BODY_BYTES = 256 * 1024;
 
+    private static final String EVENT_STREAM = "text/event-stream";
+
     private final ResponseSink sink;
     private final boolean resumable;
     private EventSplitter splitter = new EventSplitter();
+    private EventBoundary boundary = new EventBoundary();
+    private boolean events;
     private HttpResponseStatus status = HttpResponseStatus.OK;
     private HttpHeaders headers = new DefaultHttpHeaders();
     private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
@@ -39,6 +44,8 @@
     void onHead(HttpResponse response, boolean stream) {
         streaming = stream;
         splitter = new EventSplitter();
+        boundary = new EventBoundary();
+        events = response.headers().get(HttpHeaderNames.CONTENT_TYPE, "").startsWith(EVENT_STREAM);
         if (started) {
             return;
         }
@@ -67,6 +74,10 @@
         }
         if (!resumable) {
             startResponse();
+            chunk.forEachByte(next -> {
+                boundary.add(next);
+                return true;
+            });
             sink.write(chunk.retainedDuplicate());
             return true;
         }
@@ -113,9 +124,10 @@
         }
     }
 
-    /** Records the end of the server's response. Returns false if a resumable stream ended within an event. */
+    /** Records the end of the server's response. Returns false if a stream ended within an event. */
     boolean onEnd() {
-        if (streaming && resumable && splitter.holdsPartialEvent()) {
+        boolean withinEvent = resumable ? splitter.holdsPartialEvent() : events && boundary.withinEvent();
+        if (streaming && withinEvent) {
             return false;
         }
         holdsCompleteResponse = true;
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/WireCasesTest.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/WireCasesTest.java
@@ -106,6 +106,33 @@
         }
     }
 
+    @DataProvider
+    public Object[][] streamsThatEndWithTheirConnection() {
+        String first = "id: 1\ndata: a\n\n";
+        return new Object[][] {
+            // target, events before the connection ends, whether the answer is complete
+            {"/stream/1", first, true},
+            {"/stream/1", first + "id: 2\nda", false},
+            {"/stream/1", "", false},
+            {"/resume/1", first, true},
+            {"/resume/1", first + "id: 2\nda", false},
+            {"/resume/1", "", false},
+        };
+    }
+
+    // Guards against a stream that a crash broke off and that looks complete to the caller.
+    @Test(dataProvider = "streamsThatEndWithTheirConnection")
+    public void a_stream_without_length_or_chunks_is_complete_only_after_a_whole_event(
+            String target, String events, boolean complete) throws IOException {
+        String head = HEAD + "Content-Type: text/event-stream\r\n\r\n";
+        script.respondWith(new ScriptedResponse(head + events, AfterResponse.CLOSE));
+        String response = post(target);
+        assertEquals(response.startsWith("HTTP/1.1 200 ") && response.endsWith("0\r\n\r\n"), complete, response);
+        if (events.isEmpty()) {
+            assertTrue(response.startsWith("HTTP/1.1 502 "), response);
+        }
+    }
+
     @Test
     public void a_refused_request_is_sent_to_another_server() throws IOException {
         script.respondWith(
