--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/CrashingPartDetector.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/CrashingPartDetector.java
@@ -182,7 +182,9 @@
             soundMillisByPart.remove(soundMillisByPart.keySet().iterator().next());
         }
         for (Crash crash : List.copyOf(crashByProcess.values())) {
-            if (crash.atMillis() < begunMillis) {
+            boolean isNews =
+                    !crash.followedBySoundAnswer() || sharedParts.stream().anyMatch(crash::involves);
+            if (isNews && crash.atMillis() < begunMillis) {
                 replace(crash, withProofs(crash, true));
             }
         }
