Quarantine prompt prefixes that crash the daemon's engines

The daemon had the cause of the crashing prompt part too: its strikes count against the hash of a whole request, so that requests which only share a prefix crashed one engine after the other, each of them twice. SuspicionTracker now gives CrashingPartDetector the prefixes of the prompts in flight at a crash, identified by the hashes of their blocks, and what answers survive.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/CrashEvidence.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/CrashEvidence.java
@@ -47,8 +47,26 @@
         }
     }
 
+    /** Returns the same evidence when a time has passed. */
+    public CrashEvidence olderBy(long millis) {
+        return new CrashEvidence(crashes.stream()
+                .map(crash -> new Crash(
+                        crash.process(),
+                        crash.address(),
+                        crash.ageMillis() + millis,
+                        crash.prompts(),
+                        crash.clearedParts(),
+                        crash.followedBySoundAnswer()))
+                .toList());
+    }
+
     /** Encodes the evidence as a message of the given type. */
     public PeerMessage encode(String messageType) {
+        return new PeerMessage(messageType, encode());
+    }
+
+    /** Encodes the evidence. */
+    public byte[] encode() {
         List<Object> entries = new ArrayList<>();
         for (Crash crash : crashes) {
             Map<String, Object> fields = new LinkedHashMap<>();
@@ -62,13 +80,18 @@
             fields.put("o", crash.followedBySoundAnswer());
             entries.add(fields);
         }
-        return new PeerMessage(messageType, MessagePackValues.encode(Map.of("c", entries)));
+        return MessagePackValues.encode(Map.of("c", entries));
     }
 
     /** Decodes a message. */
     public static CrashEvidence decode(PeerMessage message) {
+        return decode(message.body());
+    }
+
+    /** Decodes evidence. */
+    public static CrashEvidence decode(byte[] encoded) {
         try {
-            Fields fields = new Fields(MessagePackValues.decode(message.body()));
+            Fields fields = new Fields(MessagePackValues.decode(encoded));
             List<Crash> crashes = fields.maps("c").stream()
                     .map(entry -> new Crash(
                             entry.text("p"),
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/CrashingPartDetector.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/CrashingPartDetector.java
@@ -15,7 +15,6 @@
 import java.util.stream.Collectors;
 import org.agatehatch.api.fleet.GenerationRequest;
 import org.agatehatch.api.fleet.PromptPart;
-import org.agatehatch.api.fleet.ServerEntry;
 import org.agatehatch.api.time.MonotonicClock;
 
 /**
@@ -64,7 +63,7 @@
     static final long QUARANTINE_TTL_MILLIS = 30 * 60_000L;
 
     /** Time after the last crash of a part before one request with it is tried; doubled with each further crash. */
-    static final long FIRST_TRIAL_MILLIS = 30_000;
+    public static final long FIRST_TRIAL_MILLIS = 30_000;
 
     static final long MAX_TRIAL_MILLIS = 8 * 60_000L;
 
@@ -154,10 +153,15 @@
                 .toList();
     }
 
-    /** Records that a connection broke on which an answer had not begun or had just begun. */
-    public void connectionBroken(List<String> sharedParts, ServerEntry server) {
+    /**
+     * Records that a connection broke on which an answer had not begun or had just begun.
+     *
+     * @param process the server's id and start time
+     * @param address address of the server, which a restart does not change
+     */
+    public void connectionBroken(List<String> sharedParts, String process, String address) {
         if (!sharedParts.isEmpty()) {
-            broken.connectionBroken(new InFlight(sharedParts, server.address().toString()), server.processKey());
+            broken.connectionBroken(new InFlight(sharedParts, address), process);
         }
     }
 
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/digest/DigestKind.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/digest/DigestKind.java
@@ -19,7 +19,9 @@
     /** Account counters of a node that it has not written to the log yet. */
     ACCOUNT(600_000),
     /** Adapter loads that a node requests. */
-    ADAPTER_DEMAND(60_000);
+    ADAPTER_DEMAND(60_000),
+    /** What a node knows of recent crashes and of the prompt parts that may have caused them. */
+    CRASH_EVIDENCE(60_000);
 
     private final long lifetimeMillis;
 
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/CrashingPartDetectorTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/CrashingPartDetectorTest.java
@@ -47,10 +47,14 @@
         return new ServerEntry("s" + host, "svc", address, "d", 8, false, start, List.of(), Set.of());
     }
 
+    private void broken(List<String> parts, ServerEntry server) {
+        detector.connectionBroken(parts, server.processKey(), server.address().toString());
+    }
+
     @SafeVarargs
     private void crash(ServerEntry server, List<String>... inFlight) {
         for (List<String> parts : inFlight) {
-            detector.connectionBroken(parts, server);
+            broken(parts, server);
         }
         detector.processDied(server.processKey());
         time.advance(BETWEEN_CRASHES_MILLIS);
@@ -137,7 +141,7 @@
     @Test
     public void crashes_at_the_same_time_count_as_one() {
         for (int host = 1; host <= 8; host++) {
-            detector.connectionBroken(prompt("f", "s"), server(host, 1));
+            broken(prompt("f", "s"), server(host, 1));
             detector.processDied(server(host, 1).processKey());
             time.advance(10);
         }
@@ -332,7 +336,7 @@
     public void the_evidence_is_bounded() {
         for (int crashed = 0; crashed < 3 * CrashingPartDetector.MAX_CRASHES; crashed++) {
             for (int request = 0; request < 2 * CrashingPartDetector.MAX_PROMPTS_PER_CRASH; request++) {
-                detector.connectionBroken(prompt("f" + request, "s" + request), server(crashed, 1));
+                broken(prompt("f" + request, "s" + request), server(crashed, 1));
             }
             detector.processDied(server(crashed, 1).processKey());
         }
@@ -360,7 +364,7 @@
     @Test
     public void a_broken_connection_to_a_server_that_lives_is_no_evidence() {
         for (int host = 1; host <= 5; host++) {
-            detector.connectionBroken(prompt("f", "s"), server(host, 1));
+            broken(prompt("f", "s"), server(host, 1));
             time.advance(CrashCorrelator.CONFIRMATION_WINDOW_MILLIS + 1);
             detector.processDied(server(host, 1).processKey());
         }
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/CrashingPartSimulationTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/CrashingPartSimulationTest.java
@@ -243,7 +243,10 @@
             ServerEntry entry = server.entry();
             for (Request request : server.inFlight) {
                 CrashingPartDetector node = nodes.get(request.node);
-                node.connectionBroken(request.survived ? List.of() : request.parts, entry);
+                node.connectionBroken(
+                        request.survived ? List.of() : request.parts,
+                        entry.processKey(),
+                        entry.address().toString());
                 time.runAfter(5 + random.nextInt(20), () -> node.processDied(entry.processKey()));
             }
             server.inFlight.clear();
--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/NodePoolContext.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/NodePoolContext.java
@@ -74,15 +74,15 @@
     }
 
     @Override
-    public PoisonRequestTable.Verdict suspicion(long fingerprint, String backendServer) {
-        return dependencies.suspicions().check(fingerprint, backendServer);
+    public PoisonRequestTable.Verdict suspicion(RequestContext request, String backendServer) {
+        return dependencies.suspicions().check(request, backendServer);
     }
 
     @Override
     public SentAttempt attemptStarted(RequestContext request, Candidate candidate) {
         String server = candidate.server().name();
         AttemptId suspicionId = AttemptId.random(ThreadLocalRandom.current());
-        dependencies.suspicions().started(suspicionId, request.fingerprint(), server);
+        dependencies.suspicions().started(suspicionId, request, candidate.server());
         RunnerLoadTracker.SentRequest sentRequest = dependencies
                 .trackers()
                 .getOrCreate(server)
@@ -135,6 +135,7 @@
         @Override
         public void onFirstFrame(double elapsedMillis) {
             sentRequest.markStarted();
+            dependencies.suspicions().begun(suspicionId);
             health.recordSuccess(server.name(), elapsedMillis);
             releaseAdapterLoad();
         }
--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/PoolContext.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/PoolContext.java
@@ -19,7 +19,7 @@
     BackendServerHealth health();
 
     /** Returns whether a request may be sent to a backend server, given the crashes that it was involved in. */
-    PoisonRequestTable.Verdict suspicion(long fingerprint, String backendServer);
+    PoisonRequestTable.Verdict suspicion(RequestContext request, String backendServer);
 
     /** Records that an attempt is about to be sent. */
     SentAttempt attemptStarted(RequestContext request, Candidate candidate);
--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/PoolDispatcher.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/PoolDispatcher.java
@@ -200,7 +200,7 @@
         }
         Candidate candidate = route.decision().get().candidate();
         BackendServer server = candidate.server();
-        Verdict verdict = context.suspicion(pending.request().fingerprint(), server.name());
+        Verdict verdict = context.suspicion(pending.request(), server.name());
         if (verdict instanceof Verdict.Quarantined quarantined) {
             queue.finished(ticket);
             pending.result().completeExceptionally(quarantineError(quarantined));
@@ -262,7 +262,8 @@
                         "route",
                         "self",
                         Outcome.NOT_RUN,
-                        "backend servers crashed while they ran this request; change the request, or retry later")
+                        "backend servers crashed while they ran this request or others whose prompts begin like its own; change the"
+                                + " request, or retry later")
                 .withRetryAfterMillis(verdict.remainingMillis());
     }
 
--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/wiring/Node.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/wiring/Node.java
@@ -26,6 +26,7 @@
 import org.agatehatch.daemon.traffic.TrafficDependencies;
 import org.agatehatch.internal.connection.RunnerLoadTrackers;
 import org.agatehatch.internal.process.AppendPurpose;
+import org.agatehatch.internal.process.CrashEvidence;
 import org.agatehatch.internal.process.CrashReport;
 import org.agatehatch.internal.process.ReadinessGate;
 import org.agatehatch.internal.process.ReplicatedStateListener;
@@ -356,6 +357,7 @@
             case OWNER_USAGE -> traffic.onEntry(entry);
             case LEAVING -> leaving.onEntry(entry, replicated.view().catalogue());
             case STRIKE -> mergeStrike(entry);
+            case CRASH_EVIDENCE -> mergeCrashEvidence(entry);
             default -> {
                 // Membership and adapter demand are read from the digest by the code that uses them.
             }
@@ -367,6 +369,11 @@
         traffic.suspicions().merge(DigestPayloads.decodeStrike(entry.payload()), ageMillis);
     }
 
+    private void mergeCrashEvidence(DigestEntry entry) {
+        long ageMillis = Math.max(0, context.wallClock().epochMillis() - entry.version());
+        traffic.suspicions().merge(CrashEvidence.decode(entry.payload()).olderBy(ageMillis));
+    }
+
     private ReplicatedStateListener strikeListener() {
         return (offset, record, acceptance) -> {
             if (record instanceof Strike strike) {
--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/wiring/TrafficCoordinator.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/wiring/TrafficCoordinator.java
@@ -46,6 +46,9 @@
     /** Long enough to avoid sending a request there again at once, short enough to use a recovered runner soon. */
     private static final long REPLICA_EXCLUSION_MILLIS = 1_000;
 
+    /** Evidence that changed within this time is published together, since a node's entry replaces its last one. */
+    private static final long EVIDENCE_AGE_MILLIS = 30_000;
+
     private final NodeContext context;
     private final PeerNetwork peers;
     private final RunnerLoadTrackers trackers;
@@ -60,6 +63,7 @@
     private volatile RoutingView view = RoutingView.EMPTY;
     private PoolDispatchers pools;
     private long nextApportionMillis;
+    private long evidencePublishedMillis;
 
     TrafficCoordinator(NodeContext context, PeerNetwork peers, RunnerLoadTrackers trackers) {
         this.context = context;
@@ -69,7 +73,7 @@
         this.prefixAffinity = new PrefixAffinity(context.clock(), TOKENS_PER_SECOND_PER_HOME, MAX_PREFIXES);
         this.usage = new OwnerUsage(context.clock(), USAGE_TIME_CONSTANT_SECONDS, USAGE_SILENCE_MILLIS);
         this.shares = new OwnerShares(() -> view.catalogue(), usage);
-        this.suspicions = new SuspicionTracker(context.clock());
+        this.suspicions = new SuspicionTracker(context.clock(), this::ownsTrialsOf);
     }
 
     /** Returns the dependencies of the request path. */
@@ -153,6 +157,7 @@
 
     /** Publishes owner usage and apportions adapter loads when due; called on the control thread. */
     void tick() {
+        publishCrashEvidence();
         long nowMillis = context.clock().millis();
         if (nowMillis < nextApportionMillis) {
             return;
@@ -176,6 +181,28 @@
         return RendezvousHash.hash(context.settings().nodeName());
     }
 
+    private boolean ownsTrialsOf(String prefix) {
+        List<String> nodes = peers.leaseCandidates();
+        return nodes.isEmpty()
+                || RendezvousHash.rank(prefix, nodes)
+                        .get(0)
+                        .equals(context.settings().nodeName());
+    }
+
+    private void publishCrashEvidence() {
+        long nowMillis = context.clock().millis();
+        suspicions
+                .recentEvidence(nowMillis - evidencePublishedMillis)
+                .ifPresent(news -> peers.publish(
+                        DigestKind.CRASH_EVIDENCE,
+                        ownKey(),
+                        suspicions
+                                .recentEvidence(EVIDENCE_AGE_MILLIS)
+                                .orElse(news)
+                                .encode()));
+        evidencePublishedMillis = nowMillis;
+    }
+
     private void publishUsage() {
         List<String> nodes =
                 peers.live().stream().map(member -> member.info().name()).toList();
--- a/agatehatch-daemon/src/test/java/org/agatehatch/daemon/traffic/DispatcherFixture.java
+++ b/agatehatch-daemon/src/test/java/org/agatehatch/daemon/traffic/DispatcherFixture.java
@@ -191,7 +191,7 @@
     }
 
     @Override
-    public PoisonRequestTable.Verdict suspicion(long fingerprint, String backendServer) {
+    public PoisonRequestTable.Verdict suspicion(RequestContext request, String backendServer) {
         return new PoisonRequestTable.Verdict.Allowed();
     }
 
--- a/agatehatch-daemon/src/test/java/org/agatehatch/daemon/traffic/PoolDispatcherTest.java
+++ b/agatehatch-daemon/src/test/java/org/agatehatch/daemon/traffic/PoolDispatcherTest.java
@@ -157,7 +157,7 @@
         }
 
         @Override
-        public PoisonRequestTable.Verdict suspicion(long fingerprint, String backendServer) {
+        public PoisonRequestTable.Verdict suspicion(RequestContext request, String backendServer) {
             return new PoisonRequestTable.Verdict.Allowed();
         }
 
--- a/agatehatch-daemon/src/test/java/org/agatehatch/daemon/usage/CrashingPromptPrefixUsageTest.java
+++ b/agatehatch-daemon/src/test/java/org/agatehatch/daemon/usage/CrashingPromptPrefixUsageTest.java
@@ -1,5 +1,6 @@
 package org.agatehatch.daemon.usage;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
@@ -9,11 +10,12 @@
 import java.util.concurrent.locks.LockSupport;
 import org.agatehatch.standins.PlatformSettings;
 import org.agatehatch.standins.engine.AttemptLog;
+import org.testng.Reporter;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.Test;
 
-/** Requests to all nodes whose prompts begin with the same text, which crashes engines, and are otherwise different. */
+/** Requests to all nodes whose prompts begin with a text that crashes engines and are otherwise different, and sound ones. */
 public final class CrashingPromptPrefixUsageTest {
     private static final int NODES = 3;
     private static final int REQUESTS = 24;
@@ -21,6 +23,8 @@
     private static final int MAX_SENDS_AFTERWARDS = 3;
     private static final long CONTACT_MILLIS = 3_000;
     private static final long PAUSE_MILLIS = 700;
+    private static final int REFUSED_STATUS = 422;
+    private static final String SOUND_PREFIX = "Which grit for a mortise chisel? ".repeat(40);
     private static final String SHARED_PREFIX = "boom " + "Which grit for a blunt claw chisel? ".repeat(40);
 
     private Deployment deployment;
@@ -59,6 +63,7 @@
     @Test
     public void requests_with_a_prefix_that_crashes_engines_are_kept_from_them() {
         List<CompletableFuture<?>> callers = new ArrayList<>();
+        int soundRefused = 0;
         long fifthCrashNanos = 0;
         long crashedBefore = 0;
         for (int i = 0; i < REQUESTS; i++) {
@@ -66,6 +71,10 @@
             callers.add(CompletableFuture.runAsync(
                     () -> deployment.complete(request % NODES, "counter-8b", SHARED_PREFIX + request, 20, false)));
             LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(PAUSE_MILLIS));
+            int soundStatus = deployment
+                    .complete(request % NODES, "counter-8b", SOUND_PREFIX + request, 20, false)
+                    .statusCode();
+            soundRefused += soundStatus == REFUSED_STATUS ? 1 : 0;
             if (fifthCrashNanos == 0 && crashed() >= MAX_CRASHES) {
                 fifthCrashNanos = System.nanoTime();
             }
@@ -77,8 +86,9 @@
         }
         callers.forEach(CompletableFuture::join);
         long afterwards = crashedBefore == 0 ? 0 : crashed() - crashedBefore;
-        assertTrue(
-                afterwards <= MAX_SENDS_AFTERWARDS,
-                "crashed attempts in all: " + crashed() + ", later than 3 s after the fifth crash: " + afterwards);
+        String figures = "crashed=" + crashed() + " afterwards=" + afterwards + " sound_refused=" + soundRefused;
+        Reporter.log(figures, true);
+        assertTrue(afterwards <= MAX_SENDS_AFTERWARDS, figures);
+        assertEquals(soundRefused, 0, figures);
     }
 }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/CrashAttribution.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/CrashAttribution.java
@@ -39,7 +39,8 @@
      */
     void connectionBroken(long fingerprint, List<String> suspectedParts, ServerEntry server) {
         requests.connectionBroken(fingerprint, server.processKey());
-        parts.connectionBroken(suspectedParts, server);
+        parts.connectionBroken(
+                suspectedParts, server.processKey(), server.address().toString());
         if (!suspectedParts.isEmpty() && probedProcesses.add(server.processKey())) {
             connectionPool.acquire(server.address(), server.processKey(), 0, new Probe(server.processKey()));
         }
