Bound the evidence of crashes in size by message, prompt and part

Callers choose how many parts a prompt has and how they are named. Evidence of 64 crashes could exceed the largest frame of a link (256 KiB) or payload of a digest entry (64 KiB), which the receiver rejects. At most 16 parts of a prompt with names of up to 32 characters are suspected; a message holds the newest crashes that fit. Up to 128 prompts are kept for each crash.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/CrashEvidence.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/CrashEvidence.java
@@ -1,6 +1,7 @@
 package org.agatehatch.internal.process;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -47,6 +48,17 @@
         }
     }
 
+    /** Returns as many of the newest crashes as fit into a number of bytes when they are encoded, but at least one. */
+    public CrashEvidence limitedTo(int maxBytes) {
+        CrashEvidence limited = new CrashEvidence(crashes.stream()
+                .sorted(Comparator.comparingLong(Crash::ageMillis))
+                .toList());
+        while (limited.crashes.size() > 1 && limited.encode().length > maxBytes) {
+            limited = new CrashEvidence(limited.crashes.subList(0, limited.crashes.size() / 2));
+        }
+        return limited;
+    }
+
     /** Returns the same evidence when a time has passed. */
     public CrashEvidence olderBy(long millis) {
         return new CrashEvidence(crashes.stream()
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/CrashingPartDetector.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/CrashingPartDetector.java
@@ -73,8 +73,14 @@
     /** Bounds the memory and the size of messages; beyond it the oldest crash is forgotten. */
     static final int MAX_CRASHES = 64;
 
-    /** Bounds the memory; a server runs some dozen requests at once. */
-    static final int MAX_PROMPTS_PER_CRASH = 64;
+    /** Bounds the memory; servers queue up to about as many requests. */
+    static final int MAX_PROMPTS_PER_CRASH = 128;
+
+    /** Bounds the memory and the size of messages; further parts of a prompt are not suspected. */
+    static final int MAX_PARTS_PER_PROMPT = 16;
+
+    /** Bounds the memory and the size of messages; a longer identifier is not suspected. */
+    static final int MAX_PART_LENGTH = 32;
 
     /** Bounds the memory; beyond it the least recently used part is forgotten. */
     private static final int MAX_SOUND_PARTS = 4_096;
@@ -150,6 +156,8 @@
         return parts.stream()
                 .limit(Math.max(0, parts.size() - 1))
                 .map(PromptPart::id)
+                .filter(part -> part.length() <= MAX_PART_LENGTH)
+                .limit(MAX_PARTS_PER_PROMPT)
                 .toList();
     }
 
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/CrashingPartDetectorTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/CrashingPartDetectorTest.java
@@ -345,6 +345,26 @@
         kept.forEach(crash -> assertTrue(crash.prompts().size() <= CrashingPartDetector.MAX_PROMPTS_PER_CRASH));
     }
 
+    // Guards against a message that links reject, because callers choose the parts of prompts and their names.
+    @Test
+    public void evidence_of_prompts_of_any_size_fits_into_a_message() {
+        List<PromptPart> parts = new ArrayList<>();
+        for (int i = 0; i < 6_000; i++) {
+            parts.add(new PromptPart("p".repeat(i % 200) + i, 1));
+        }
+        for (int crashed = 0; crashed < CrashingPartDetector.MAX_CRASHES; crashed++) {
+            for (int request = 0; request < CrashingPartDetector.MAX_PROMPTS_PER_CRASH; request++) {
+                List<PromptPart> own = new ArrayList<>(parts.subList(request * 40, request * 40 + 40));
+                own.add(0, new PromptPart("first" + crashed, 1));
+                broken(CrashingPartDetector.sharedParts(new GenerationRequest("m", "", 3, 1, own)), server(crashed, 1));
+            }
+            detector.processDied(server(crashed, 1).processKey());
+        }
+        CrashEvidence limited = detector.evidence().limitedTo(100_000);
+        assertTrue(limited.encode().length <= 100_000, "bytes: " + limited.encode().length);
+        assertFalse(limited.crashes().isEmpty());
+    }
+
     // Guards against an endless search for the later of two parts.
     @Test
     public void parts_that_occur_in_both_orders_are_quarantined_together() {
--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/wiring/TrafficCoordinator.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/wiring/TrafficCoordinator.java
@@ -49,6 +49,9 @@
     /** Evidence that changed within this time is published together, since a node's entry replaces its last one. */
     private static final long EVIDENCE_AGE_MILLIS = 30_000;
 
+    /** Half of the largest payload of a digest entry. */
+    private static final int MAX_EVIDENCE_BYTES = 32 * 1024;
+
     private final NodeContext context;
     private final PeerNetwork peers;
     private final RunnerLoadTrackers trackers;
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/CrashEvidenceExchange.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/CrashEvidenceExchange.java
@@ -13,6 +13,7 @@
 import org.agatehatch.api.peer.PeerMessage;
 import org.agatehatch.api.peer.PeerTransport;
 import org.agatehatch.api.time.MonotonicClock;
+import org.agatehatch.internal.connection.PeerFrameCodec;
 import org.agatehatch.internal.process.CrashEvidence;
 import org.agatehatch.internal.process.CrashingPartDetector;
 import org.agatehatch.internal.process.NodeIdentity;
@@ -46,6 +47,9 @@
 
     private static final long ASK_TIMEOUT_MILLIS = 250;
 
+    /** Half of the largest frame that a link accepts. */
+    private static final int MAX_MESSAGE_BYTES = PeerFrameCodec.MAX_FRAME_BYTES / 2;
+
     private final EventLoop loop;
     private final NodeIdentity self;
     private final Supplier<NodeView> nodes;
@@ -91,9 +95,9 @@
     }
 
     private PeerMessage message(boolean full) {
-        return full
-                ? detector.evidence().encode(CrashEvidence.FULL_EXCHANGE_TYPE)
-                : detector.recentEvidence(RECENT_MILLIS).encode(CrashEvidence.RECENT_EXCHANGE_TYPE);
+        CrashEvidence evidence = full ? detector.evidence() : detector.recentEvidence(RECENT_MILLIS);
+        return evidence.limitedTo(MAX_MESSAGE_BYTES)
+                .encode(full ? CrashEvidence.FULL_EXCHANGE_TYPE : CrashEvidence.RECENT_EXCHANGE_TYPE);
     }
 
     private void round(PeerTransport transport) {
