Log and count the answers that end with their connection

Nothing told of answers without length or chunks that were taken as complete: the attempt line named a cause only for failed ones. The connection now says whether an answer's framing or an orderly close ended it. The attempt line of an answer that a close ended and the counter agatehatch_close_ended_answers tell where it ended: before the first event, within one, after one, or in a plain body. No decision changes.

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/BackendConnection.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/BackendConnection.java
@@ -257,6 +257,7 @@
             fail("connection reset during a response without a length");
             return;
         }
+        ResponseEnd ending = channel.isActive() || bodyDelimited ? ResponseEnd.FRAMING : ResponseEnd.CONNECTION_CLOSE;
         ResponseListener completed = listener.orElseThrow();
         listener = Optional.empty();
         idleSinceNanos = clock.nanos();
@@ -275,7 +276,7 @@
             close();
         }
         completed.onReadComplete();
-        completed.onEnd();
+        completed.onEnd(ending);
     }
 
     private void fail(String cause) {
@@ -334,7 +335,7 @@
         public void onReadComplete() {}
 
         @Override
-        public void onEnd() {
+        public void onEnd(ResponseEnd end) {
             done = true;
         }
 
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/PooledHttpClient.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/PooledHttpClient.java
@@ -127,7 +127,7 @@
         public void onReadComplete() {}
 
         @Override
-        public void onEnd() {
+        public void onEnd(ResponseEnd end) {
             finish();
             result.complete(new Response(head.status().code(), head.headers(), body.toByteArray()));
         }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/ResponseListener.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/ResponseListener.java
@@ -22,8 +22,8 @@
     /** Called when all chunks of one socket read have been delivered. */
     void onReadComplete();
 
-    /** Called when the response is complete. */
-    void onEnd();
+    /** Called when the response is complete as far as its framing tells. */
+    void onEnd(ResponseEnd end);
 
     /** Called when the connection closed or the data was not a valid response. No further calls follow. */
     void onConnectionError(String cause);
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/metrics/GatewayMetrics.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/metrics/GatewayMetrics.java
@@ -22,6 +22,7 @@
     private final Counter silentAttempts;
     private final Counter cutAnswers;
     private final Counter brokenAttempts;
+    private final Counter closeEndedAnswers;
     private final Counter strikes;
     private final Gauge quarantinedParts;
     private final Counter refusedForPart;
@@ -46,6 +47,11 @@
                 "agatehatch_broken_attempts",
                 "Attempts whose connection broke, by what had arrived of the answer: nothing, head or body",
                 "received");
+        closeEndedAnswers = counter(
+                "agatehatch_close_ended_answers",
+                "Answers without length or chunks that an orderly close ended, by where: no_event, within_event, after_event"
+                        + " or body",
+                "position");
         strikes = counter(
                 "agatehatch_crash_strikes",
                 "Requests in flight at a server process that is known to have died, by who saw it: this node or a peer",
@@ -118,6 +124,11 @@
         brokenAttempts.labelValues(received).inc();
     }
 
+    /** Counts an answer without length or chunks that an orderly close of its connection ended. */
+    public void answerEndedByClose(String position) {
+        closeEndedAnswers.labelValues(position).inc();
+    }
+
     /** Counts a crash that was attributed to a request. */
     public void crashStrike(boolean own) {
         strikes.labelValues(own ? "own" : "peer").inc();
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
@@ -12,6 +12,7 @@
 import org.agatehatch.gateway.HeaderCodec;
 import org.agatehatch.gateway.connection.BackendConnection;
 import org.agatehatch.gateway.connection.BackendConnectionPool;
+import org.agatehatch.gateway.connection.ResponseEnd;
 import org.agatehatch.gateway.connection.ResponseListener;
 import org.agatehatch.internal.connection.ServerLoad;
 import org.agatehatch.internal.process.CrashingPartDetector;
@@ -254,10 +255,13 @@
     }
 
     @Override
-    public void onEnd() {
+    public void onEnd(ResponseEnd end) {
         if (ended) {
             return;
         }
+        if (end == ResponseEnd.CONNECTION_CLOSE) {
+            exchange.context().metrics().answerEndedByClose(closePosition());
+        }
         if (declaredEnd.isPresent()) {
             end(declaredEnd.get(), "status " + exchange.relay().status());
             return;
@@ -282,9 +286,23 @@
             exchange.context().crashes().requestAnswered(exchange.fingerprint());
             recordEndOfAnswer();
         }
+        String endedBy = end == ResponseEnd.CONNECTION_CLOSE ? " ended_by=close " + closePosition() : "";
         end(
                 failed ? AttemptEnd.SERVER_ERROR : AttemptEnd.ANSWERED,
-                "status " + exchange.relay().status());
+                "status " + exchange.relay().status() + endedBy);
+    }
+
+    /** Returns where in the answer its connection closed: {@code no_event}, {@code within_event}, {@code after_event} or {@code body}. */
+    private String closePosition() {
+        if (stream && firstByteMillis < 0) {
+            return "no_event";
+        }
+        boolean withinEvent = held.map(HeldResponse::endsWithinEvent)
+                .orElseGet(() -> exchange.relay().endsWithinEvent());
+        if (withinEvent) {
+            return "within_event";
+        }
+        return stream ? "after_event" : "body";
     }
 
     /** Ends the complete response of a successor and returns whether it is delivered to the caller. */
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ResponseRelay.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ResponseRelay.java
@@ -124,10 +124,14 @@
         }
     }
 
+    /** Returns whether the response, if it ends now, ends within an event. */
+    boolean endsWithinEvent() {
+        return streaming && (resumable ? splitter.holdsPartialEvent() : events && boundary.withinEvent());
+    }
+
     /** Records the end of the server's response. Returns false if a stream ended within an event. */
     boolean onEnd() {
-        boolean withinEvent = resumable ? splitter.holdsPartialEvent() : events && boundary.withinEvent();
-        if (streaming && withinEvent) {
+        if (endsWithinEvent()) {
             return false;
         }
         holdsCompleteResponse = true;
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/connection/BackendConnectionTest.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/connection/BackendConnectionTest.java
@@ -64,7 +64,7 @@
         public void onReadComplete() {}
 
         @Override
-        public void onEnd() {}
+        public void onEnd(ResponseEnd end) {}
 
         @Override
         public void onConnectionError(String cause) {}
