--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/ScriptedServer.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/ScriptedServer.java
@@ -21,7 +21,9 @@
         KEEP,
         CLOSE,
         RESET,
-        SILENCE
+        SILENCE,
+        /** The process dies: its listener and all its connections close in an orderly way. */
+        CRASH
     }
 
     /**
@@ -106,6 +108,10 @@
                 out.flush();
                 script.writes.incrementAndGet();
             }
+            if (response.afterResponse() == AfterResponse.CRASH) {
+                close();
+                return;
+            }
             if (response.afterResponse() == AfterResponse.RESET) {
                 socket.setSoLinger(true, 0);
             }
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/WireCasesTest.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/WireCasesTest.java
@@ -5,9 +5,6 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.locks.LockSupport;
-import java.util.function.BooleanSupplier;
 import org.agatehatch.gateway.ScriptedServer.AfterResponse;
 import org.agatehatch.gateway.ScriptedServer.ScriptedResponse;
 import org.testng.annotations.AfterMethod;
@@ -57,14 +54,6 @@
         }
     }
 
-    private static void await(String what, BooleanSupplier condition) {
-        long untilNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
-        while (!condition.getAsBoolean()) {
-            assertTrue(System.nanoTime() < untilNanos, "not seen: " + what);
-            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(2));
-        }
-    }
-
     @DataProvider
     public Object[][] serverResponses() {
         String unframed = HEAD + "\r\nok";
@@ -249,9 +238,9 @@
         script.respondWith(new ScriptedResponse("", AfterResponse.SILENCE));
         try (RawCaller caller = new RawCaller(gateway.port)) {
             caller.send(RawCaller.request("POST", "/once/1", "", "body"));
-            await("the request", () -> sends() == 1);
+            Waiting.until("the request", () -> sends() == 1);
         }
-        await("the close", () -> one.closedByPeer.get() + two.closedByPeer.get() == 1);
+        Waiting.until("the close", () -> one.closedByPeer.get() + two.closedByPeer.get() == 1);
     }
 
     @Test
@@ -259,7 +248,7 @@
         script.respondWith(
                 new ScriptedResponse(WHOLE + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", AfterResponse.KEEP));
         post("/once/1");
-        await("the close", () -> one.closedByPeer.get() + two.closedByPeer.get() == 1);
+        Waiting.until("the close", () -> one.closedByPeer.get() + two.closedByPeer.get() == 1);
     }
 
     @Test
