Deliver answers that end with their connection only if the server outlives them

What callers saw: an answer without length or chunks whose server died after an event, or within a plain body, was framed as complete. What was left: a dying process closes its connections in an orderly way, which looks like the end of a whole answer.

Cause: the end of a connection was taken as the end of the answer. Class: the absence of more is taken as completeness.

Why this works: the connection that is opened after the close is accepted only by a process that lived on, so that the close was its own act. Events are passed on as they arrive; only the final chunk, or a plain answer, waits for the connection, one round trip.

An HTTP/1.0 caller has no framing but the close of its connection: its connection now resets unless the answer is whole, also if this process dies. An event stream on a route without streaming is checked for its last event like any other.

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/CallerConnection.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/CallerConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.TooLongFrameException;
@@ -346,6 +347,9 @@
             setConnectionHeader(response.headers());
             if (chunked) {
                 response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+            } else {
+                // The close delimits this response, so any close before its end must be a reset.
+                channel.config().setOption(ChannelOption.SO_LINGER, 0);
             }
             channel.write(response);
         }
@@ -367,6 +371,7 @@
             }
             if (!chunked) {
                 // The end of the connection delimits this response, so none can follow it.
+                channel.config().setOption(ChannelOption.SO_LINGER, -1);
                 pipelined.clear();
             }
             boolean keepOpen = chunked && canStayOpen();
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/metrics/GatewayMetrics.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/metrics/GatewayMetrics.java
@@ -23,6 +23,7 @@
     private final Counter cutAnswers;
     private final Counter brokenAttempts;
     private final Counter closeEndedAnswers;
+    private final Counter answersOutlivingServer;
     private final Counter strikes;
     private final Gauge quarantinedParts;
     private final Counter refusedForPart;
@@ -52,6 +53,9 @@
                 "Answers without length or chunks that an orderly close ended, by where: no_event, within_event, after_event"
                         + " or body",
                 "position");
+        answersOutlivingServer = counter(
+                "agatehatch_close_ended_answers_in_doubt",
+                "Answers that an orderly close ended and whose server did not accept a connection afterwards");
         strikes = counter(
                 "agatehatch_crash_strikes",
                 "Requests in flight at a server process that is known to have died, by who saw it: this node or a peer",
@@ -129,6 +133,11 @@
         closeEndedAnswers.labelValues(position).inc();
     }
 
+    /** Counts an answer that an orderly close ended and whose server did not accept a connection afterwards. */
+    public void answerOutlivedServer() {
+        answersOutlivingServer.inc();
+    }
+
     /** Counts a crash that was attributed to a request. */
     public void crashStrike(boolean own) {
         strikes.labelValues(own ? "own" : "peer").inc();
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
@@ -30,6 +30,7 @@
 import org.agatehatch.gateway.request.Exchange;
 import org.agatehatch.gateway.request.ExchangeContext;
 import org.agatehatch.gateway.request.ExchangeTimeouts;
+import org.agatehatch.gateway.request.ServerProbe;
 import org.agatehatch.internal.process.BackendRegistry;
 import org.agatehatch.internal.process.CrashEvidence;
 import org.agatehatch.internal.process.CrashingPartDetector;
@@ -115,6 +116,7 @@
     private final PoisonRequestDetector poisonRequests = new PoisonRequestDetector(clock, this::onStrike);
     private final CrashingPartDetector crashingParts =
             new CrashingPartDetector(clock, this::ownsTrialsOf, new QuarantineLog());
+    private final ServerProbe serverProbe;
     private final CrashAttribution crashes;
     private final ServerLimits serverLimits = new ServerLimits(clock, this::onLimit);
     private final RequestPacer pacer = new RequestPacer(clock);
@@ -137,7 +139,8 @@
         BackendConnectionPool storePool =
                 new BackendConnectionPool(loop, clock, STORE_CONNECT_TIMEOUT_MILLIS, metrics::connectionsOpened);
         serverPool = new BackendConnectionPool(loop, clock, SERVER_CONNECT_TIMEOUT_MILLIS, metrics::connectionsOpened);
-        crashes = new CrashAttribution(poisonRequests, crashingParts, serverPool);
+        serverProbe = new ServerProbe(serverPool);
+        crashes = new CrashAttribution(poisonRequests, crashingParts, serverProbe);
         crashEvidence = new CrashEvidenceExchange(
                 loop, settings.self(), () -> nodes, settings.peerPort(), crashingParts, random, clock);
         limitCoordinator =
@@ -351,6 +354,7 @@
                 residencyClient,
                 demandMeter,
                 crashes,
+                serverProbe,
                 serverLimits,
                 limitCoordinator,
                 shutdown::refusingRequests,
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
@@ -2,9 +2,9 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.Future;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.agatehatch.api.fleet.PromptPart;
@@ -28,6 +28,19 @@
     private static final int FIRST_SERVER_ERROR_STATUS = 500;
     private static final int FIRST_REDIRECT_STATUS = 300;
 
+    /** Where in an answer without length or chunks its connection closed. */
+    private enum ClosePosition {
+        NO_EVENT,
+        WITHIN_EVENT,
+        AFTER_EVENT,
+        /** In an answer that is no stream. */
+        BODY;
+
+        private String label() {
+            return name().toLowerCase(Locale.ROOT);
+        }
+    }
+
     private final Exchange exchange;
     private final ServerChoice.Chosen choice;
     private final ServerLoad load;
@@ -40,7 +53,6 @@
     private long firstByteMillis = -1;
     private boolean promptReadCounted;
     private boolean headReceived;
-    private boolean bodyDelimited;
     private boolean stream;
     private boolean survived;
     private boolean connectRefused;
@@ -162,7 +174,7 @@
 
     @Override
     public void onFailure(Throwable cause) {
-        connectRefused = CrashAttribution.isRefusal(cause);
+        connectRefused = ServerProbe.isRefusal(cause);
         end(AttemptEnd.NOT_CONNECTED, String.valueOf(cause.getMessage()));
     }
 
@@ -175,7 +187,6 @@
             return Disposition.SKIP;
         }
         headReceived = true;
-        bodyDelimited = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
         lastReceivedMillis = exchange.nowMillis();
         int status = head.status().code();
         recordLimit(terms);
@@ -259,17 +270,53 @@
         if (ended) {
             return;
         }
-        if (end == ResponseEnd.CONNECTION_CLOSE) {
-            exchange.context().metrics().answerEndedByClose(closePosition());
-        }
         if (declaredEnd.isPresent()) {
             end(declaredEnd.get(), "status " + exchange.relay().status());
             return;
         }
-        if (stream && !bodyDelimited && firstByteMillis < 0) {
-            end(AttemptEnd.BROKEN, "connection closed before the first event");
+        if (end == ResponseEnd.FRAMING) {
+            complete("");
+            return;
+        }
+        ClosePosition position = closePosition();
+        exchange.context().metrics().answerEndedByClose(position.label());
+        if (position == ClosePosition.NO_EVENT || position == ClosePosition.WITHIN_EVENT) {
+            end(AttemptEnd.BROKEN, "connection closed " + position.label());
+            return;
+        }
+        // The connections of a process that dies close in the same way as those of one that has finished its answer.
+        exchange.context().serverProbe().probe(server(), result -> onProbed(result, position));
+    }
+
+    private void onProbed(ServerProbe.Result result, ClosePosition position) {
+        if (ended) {
+            return;
+        }
+        if (result == ServerProbe.Result.LISTENS) {
+            complete(" ended_by=close " + position.label());
             return;
         }
+        exchange.context().metrics().answerOutlivedServer();
+        end(
+                AttemptEnd.BROKEN,
+                "connection closed " + position.label() + ", server "
+                        + result.name().toLowerCase(Locale.ROOT));
+    }
+
+    private ClosePosition closePosition() {
+        if (stream && firstByteMillis < 0) {
+            return ClosePosition.NO_EVENT;
+        }
+        boolean withinEvent = held.map(HeldResponse::endsWithinEvent)
+                .orElseGet(() -> exchange.relay().endsWithinEvent());
+        if (withinEvent) {
+            return ClosePosition.WITHIN_EVENT;
+        }
+        return stream ? ClosePosition.AFTER_EVENT : ClosePosition.BODY;
+    }
+
+    /** Ends the attempt with a response that is known to be whole. */
+    private void complete(String remark) {
         onFirstByte();
         if (held.isPresent() && !endHeldResponse(held.get())) {
             return;
@@ -284,25 +331,11 @@
             exchange.onDelivery(this);
             exchange.context().chooser().succeeded(exchange.service(), server().id(), unexplainedLatencyMillis());
             exchange.context().crashes().requestAnswered(exchange.fingerprint());
-            recordEndOfAnswer();
+            recordSurvival();
         }
-        String endedBy = end == ResponseEnd.CONNECTION_CLOSE ? " ended_by=close " + closePosition() : "";
         end(
                 failed ? AttemptEnd.SERVER_ERROR : AttemptEnd.ANSWERED,
-                "status " + exchange.relay().status() + endedBy);
-    }
-
-    /** Returns where in the answer its connection closed: {@code no_event}, {@code within_event}, {@code after_event} or {@code body}. */
-    private String closePosition() {
-        if (stream && firstByteMillis < 0) {
-            return "no_event";
-        }
-        boolean withinEvent = held.map(HeldResponse::endsWithinEvent)
-                .orElseGet(() -> exchange.relay().endsWithinEvent());
-        if (withinEvent) {
-            return "within_event";
-        }
-        return stream ? "after_event" : "body";
+                "status " + exchange.relay().status() + remark);
     }
 
     /** Ends the complete response of a successor and returns whether it is delivered to the caller. */
@@ -349,18 +382,6 @@
                 .ifPresent(generation -> exchange.context().demandMeter().requestEnded(server().service(), generation));
     }
 
-    /**
-     * Records a complete answer as proof that the server survives the request. An answer that ends with its connection looks
-     * the same if the server crashed.
-     */
-    private void recordEndOfAnswer() {
-        if (bodyDelimited || sinceFirstByteMillis() >= CrashingPartDetector.SURVIVAL_MILLIS) {
-            recordSurvival();
-        } else {
-            exchange.recordBrokenConnection(this);
-        }
-    }
-
     private void recordSurvival() {
         if (!survived) {
             survived = true;
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/CrashAttribution.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/CrashAttribution.java
@@ -1,14 +1,10 @@
 package org.agatehatch.gateway.request;
 
-import io.netty.channel.ConnectTimeoutException;
-import java.net.ConnectException;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.agatehatch.api.fleet.ServerEntry;
-import org.agatehatch.gateway.connection.BackendConnection;
-import org.agatehatch.gateway.connection.BackendConnectionPool;
 import org.agatehatch.internal.process.CrashingPartDetector;
 import org.agatehatch.internal.process.PoisonRequestDetector;
 
@@ -16,19 +12,13 @@
 public final class CrashAttribution {
     private final PoisonRequestDetector requests;
     private final CrashingPartDetector parts;
-    private final BackendConnectionPool connectionPool;
+    private final ServerProbe probe;
     private final Set<String> probedProcesses = new HashSet<>();
 
-    public CrashAttribution(
-            PoisonRequestDetector requests, CrashingPartDetector parts, BackendConnectionPool connectionPool) {
+    public CrashAttribution(PoisonRequestDetector requests, CrashingPartDetector parts, ServerProbe probe) {
         this.requests = requests;
         this.parts = parts;
-        this.connectionPool = connectionPool;
-    }
-
-    /** Returns whether a connection was refused, which, unlike a timeout, proves that no process listens. */
-    static boolean isRefusal(Throwable cause) {
-        return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+        this.probe = probe;
     }
 
     /**
@@ -42,7 +32,12 @@
         parts.connectionBroken(
                 suspectedParts, server.processKey(), server.address().toString());
         if (!suspectedParts.isEmpty() && probedProcesses.add(server.processKey())) {
-            connectionPool.acquire(server.address(), server.processKey(), 0, new Probe(server.processKey()));
+            probe.probe(server, result -> {
+                probedProcesses.remove(server.processKey());
+                if (result == ServerProbe.Result.REFUSES) {
+                    processDied(server.processKey());
+                }
+            });
         }
     }
 
@@ -71,26 +66,4 @@
     Optional<String> blockingPart(List<String> sharedParts) {
         return sharedParts.isEmpty() ? Optional.empty() : parts.blockingPart(sharedParts);
     }
-
-    private final class Probe implements BackendConnectionPool.AcquireListener {
-        private final String process;
-
-        private Probe(String process) {
-            this.process = process;
-        }
-
-        @Override
-        public void onConnection(BackendConnection connection) {
-            probedProcesses.remove(process);
-            connection.abort();
-        }
-
-        @Override
-        public void onFailure(Throwable cause) {
-            probedProcesses.remove(process);
-            if (isRefusal(cause)) {
-                processDied(process);
-            }
-        }
-    }
 }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ExchangeContext.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ExchangeContext.java
@@ -30,6 +30,7 @@
         ResidencyRequester residencyRequester,
         DemandMeter demandMeter,
         CrashAttribution crashes,
+        ServerProbe serverProbe,
         ServerLimits serverLimits,
         PermitRequester permitRequester,
         BooleanSupplier refusingRequests,
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/HeldResponse.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/HeldResponse.java
@@ -4,18 +4,22 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponse;
 import java.io.ByteArrayOutputStream;
+import org.agatehatch.internal.request.EventBoundary;
 import org.agatehatch.internal.request.EventSplitter;
 
 /** The response of a server so far, held back while another server may still provide the caller's response. */
 final class HeldResponse {
     private final HttpResponse head;
     private final boolean stream;
+    private final boolean events;
     private final EventSplitter splitter = new EventSplitter();
+    private final EventBoundary boundary = new EventBoundary();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
     HeldResponse(HttpResponse head, boolean stream) {
         this.head = head;
         this.stream = stream;
+        this.events = stream || ResponseRelay.isEventStream(head);
     }
 
     /**
@@ -31,12 +35,15 @@
         byte[] bytes = new byte[chunk.readableBytes()];
         chunk.readBytes(bytes);
         body.writeBytes(bytes);
+        for (byte next : bytes) {
+            boundary.add(next);
+        }
         return stream && !splitter.add(bytes).isEmpty();
     }
 
     /** Returns whether the response, if it ends now, ends within an event. */
     boolean endsWithinEvent() {
-        return stream && splitter.holdsPartialEvent();
+        return events && boundary.withinEvent();
     }
 
     int status() {
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ResponseRelay.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ResponseRelay.java
@@ -40,12 +40,17 @@
         this.resumable = resumable;
     }
 
+    /** Returns whether the content of a response is an event stream. */
+    static boolean isEventStream(HttpResponse head) {
+        return head.headers().get(HttpHeaderNames.CONTENT_TYPE, "").startsWith(EVENT_STREAM);
+    }
+
     /** Starts the response of an attempt. Once a stream to the caller has started, heads of later attempts are ignored. */
     void onHead(HttpResponse response, boolean stream) {
         streaming = stream;
         splitter = new EventSplitter();
         boundary = new EventBoundary();
-        events = response.headers().get(HttpHeaderNames.CONTENT_TYPE, "").startsWith(EVENT_STREAM);
+        events = isEventStream(response);
         if (started) {
             return;
         }
@@ -70,6 +75,9 @@
             byte[] bytes = new byte[chunk.readableBytes()];
             chunk.readBytes(bytes);
             body.writeBytes(bytes);
+            for (byte next : bytes) {
+                boundary.add(next);
+            }
             return false;
         }
         if (!resumable) {
@@ -126,7 +134,7 @@
 
     /** Returns whether the response, if it ends now, ends within an event. */
     boolean endsWithinEvent() {
-        return streaming && (resumable ? splitter.holdsPartialEvent() : events && boundary.withinEvent());
+        return streaming && resumable ? splitter.holdsPartialEvent() : events && boundary.withinEvent();
     }
 
     /** Records the end of the server's response. Returns false if a stream ended within an event. */
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestGateway.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestGateway.java
@@ -26,6 +26,7 @@
 import org.agatehatch.gateway.request.Exchange;
 import org.agatehatch.gateway.request.ExchangeContext;
 import org.agatehatch.gateway.request.ExchangeTimeouts;
+import org.agatehatch.gateway.request.ServerProbe;
 import org.agatehatch.internal.process.CrashingPartDetector;
 import org.agatehatch.internal.process.DemandMeter;
 import org.agatehatch.internal.process.FleetView;
@@ -82,6 +83,7 @@
         chooser =
                 new ServerChooser(ChooserSettings.DEFAULT, "d", () -> fleet, sightings, clock, new Random(1), () -> 1);
         BackendConnectionPool pool = new BackendConnectionPool(loop, clock, 250, opened -> {});
+        ServerProbe probe = new ServerProbe(pool);
         ExchangeContext parts = new ExchangeContext(
                 loop,
                 clock,
@@ -96,7 +98,8 @@
                 new CrashAttribution(
                         new PoisonRequestDetector(clock, (strike, strikes, own) -> {}),
                         new CrashingPartDetector(clock, part -> false, new NoQuarantineListener()),
-                        pool),
+                        probe),
+                probe,
                 new ServerLimits(clock, (process, perSecond, own) -> {}),
                 (process, limitPerSecond, maxDelayMillis) ->
                         CompletableFuture.completedFuture(new RequestPacer.Permit(true, 0)),
