Deliver a plain service's answer that ends with its connection only if the service outlives it

What callers of the daemon saw: a plain service's answer without length or chunks that a crash cut short came as a whole 201, and was stored as the outcome of its idempotency key.

Cause: Pekko HTTP ends such an entity with its connection, whatever closed it.

Completions of model engines need no such proof: their streams end with a [DONE] event, and one without it counts as cut.

--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/EngineClient.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/EngineClient.java
@@ -1,7 +1,12 @@
 package org.agatehatch.daemon.traffic;
 
 import com.typesafe.config.Config;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.agatehatch.api.catalogue.BackendServer;
 import org.agatehatch.api.errors.AgatehatchException;
@@ -22,6 +27,11 @@
 import org.apache.pekko.stream.Materializer;
 import org.apache.pekko.stream.StreamTcpException;
 import org.apache.pekko.stream.SystemMaterializer;
+import org.apache.pekko.stream.javadsl.Keep;
+import org.apache.pekko.stream.javadsl.Sink;
+import org.apache.pekko.stream.javadsl.Source;
+import org.apache.pekko.stream.javadsl.Tcp;
+import org.apache.pekko.util.ByteString;
 
 /** Sends attempts to model engines and plain services. Each call is one attempt; this class never retries. */
 public final class EngineClient {
@@ -40,6 +50,9 @@
     /** Refusals are short JSON objects; a larger body is not worth reading. */
     static final long MAX_REFUSAL_BODY_BYTES = 64 << 10;
 
+    /** A server that lives accepts a connection within some milliseconds. */
+    private static final Duration PROBE_TIMEOUT = Duration.ofMillis(1_000);
+
     private static final String CONNECT_FAILED_PREFIX = "Tcp command [Connect";
 
     private final ClassicActorSystemProvider system;
@@ -104,8 +117,52 @@
                         http.defaultClientHttpsContext(),
                         poolSettings,
                         system.classicSystem().log())
-                .exceptionallyCompose(failure ->
-                        java.util.concurrent.CompletableFuture.failedFuture(toAgatehatchException(server, failure)));
+                .exceptionallyCompose(
+                        failure -> CompletableFuture.failedFuture(toAgatehatchException(server, failure)));
+    }
+
+    /**
+     * Opens a connection to a backend server whose response ended with its connection, and closes it. Fails if the server
+     * accepts none: a process that dies closes its connections as one does that has finished its response.
+     */
+    CompletionStage<Void> requireListening(BackendServer server) {
+        int colon = server.address().lastIndexOf(':');
+        CompletableFuture<Optional<ByteString>> untilClosed = new CompletableFuture<>();
+        return Source.<ByteString>maybe()
+                .mapMaterializedValue(input -> {
+                    untilClosed.thenAccept(input::complete);
+                    return NotUsed.getInstance();
+                })
+                .viaMat(
+                        Tcp.get(system)
+                                .outgoingConnection(
+                                        InetSocketAddress.createUnresolved(
+                                                server.address().substring(0, colon),
+                                                Integer.parseInt(
+                                                        server.address().substring(colon + 1))),
+                                        Optional.empty(),
+                                        List.of(),
+                                        false,
+                                        Optional.of(PROBE_TIMEOUT),
+                                        Optional.empty()),
+                        Keep.right())
+                .to(Sink.ignore())
+                .run(materializer)
+                .handle((connection, failure) -> {
+                    untilClosed.complete(Optional.empty());
+                    if (failure == null) {
+                        return null;
+                    }
+                    throw new AgatehatchException(
+                            ErrorCode.BACKEND_SERVER_FAILED,
+                            DISPATCH_STEP,
+                            server.name(),
+                            Outcome.UNKNOWN,
+                            "the response of " + server.address()
+                                    + " ended with its connection and may be incomplete, as the"
+                                    + " server accepts no connection since: " + failure.getMessage(),
+                            failure);
+                });
     }
 
     /** Asks the engine to cancel an attempt. Best effort: a failure is ignored. */
--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/ServiceHandler.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/ServiceHandler.java
@@ -4,6 +4,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.random.RandomGenerator;
@@ -149,9 +150,13 @@
             if (isRefusal(response)) {
                 return refused(server, response);
             }
+            boolean endsWithConnection = response.entity().isCloseDelimited();
             return response.entity()
                     .withSizeLimit(MAX_RESPONSE_BYTES)
                     .toStrict(entry.timeoutMillis(), materializer)
+                    .thenCompose(strict -> endsWithConnection
+                            ? client.requireListening(server).thenApply(ignored -> strict)
+                            : CompletableFuture.completedFuture(strict))
                     .thenApply(strict -> {
                         headers.set(forwardableHeaders(response.getHeaders()));
                         return toAttemptResponse(
--- a/agatehatch-daemon/src/test/java/org/agatehatch/daemon/endless/EndlessServer.java
+++ b/agatehatch-daemon/src/test/java/org/agatehatch/daemon/endless/EndlessServer.java
@@ -100,6 +100,11 @@
                 write(socket, endless.script());
             } else if (reply instanceof Reply.Relayed relayed) {
                 relay(request, relayed.address(), socket.getOutputStream());
+            } else if (reply instanceof Reply.Ended ended) {
+                socket.getOutputStream().write(ended.bytes().getBytes(StandardCharsets.ISO_8859_1));
+                if (ended.crash()) {
+                    close();
+                }
             }
         } catch (IOException e) {
             // The peer closed the connection.
@@ -189,6 +194,9 @@
 
         /** Passes the request to another server and returns its response. */
         record Relayed(String address) implements Reply {}
+
+        /** Writes bytes and closes the connection; with {@code crash} the listener and all other connections as well. */
+        record Ended(String bytes, boolean crash) implements Reply {}
     }
 
     /** Produces the blocks of bytes that follow the start of a response. */
