Read the era of the store, log its changes and show it in the metrics

Nothing told an answer of the store from before a restore from one after it. Followers log store_era when it changes; agatehatch_store_era is the newest one seen. No decision changes.

--- a/agatehatch-core/src/main/java/org/agatehatch/api/fleet/KeyedTopic.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/api/fleet/KeyedTopic.java
@@ -4,7 +4,12 @@
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 
-/** A compacted topic of the platform's store: it retains the newest record of each key. */
+/**
+ * A compacted topic of the platform's store: it retains the newest record of each key.
+ *
+ * <p>The store may come back from an older copy. It then lacks records that it had acknowledged, and assigns their offsets again.
+ * Each time, its era rises by one. Offsets and acknowledgements of one era say nothing about another.
+ */
 public interface KeyedTopic {
     /**
      * A record.
@@ -17,8 +22,9 @@
      * The newest record of each key.
      *
      * @param endOffset offset from which later changes can be read without a gap
+     * @param era era of the store in which all entries were read
      */
-    record Snapshot(List<Entry> entries, long endOffset) {
+    record Snapshot(List<Entry> entries, long endOffset, long era) {
         public Snapshot {
             entries = List.copyOf(entries);
         }
@@ -29,14 +35,24 @@
      *
      * @param nextOffset first offset that the entries do not cover
      * @param endOffset offset at which the topic ended
-     * @param truncated whether the records at the requested offset are no longer retained, so that a snapshot is needed
+     * @param truncated whether the store does not have the requested offset, so that a snapshot is needed
+     * @param era era of the store that answered
      */
-    record Changes(List<Entry> entries, long nextOffset, long endOffset, boolean truncated) {
+    record Changes(List<Entry> entries, long nextOffset, long endOffset, boolean truncated, long era) {
         public Changes {
             entries = List.copyOf(entries);
         }
     }
 
+    /**
+     * The result of a conditional append.
+     *
+     * @param appended whether the topic ended at the expected offset, so that the record was appended
+     * @param era era of the store that answered; an append in another era than that of the expected offset met its condition by
+     *     chance
+     */
+    record AppendResult(boolean appended, long era) {}
+
     /** Reads the newest record of each key. */
     CompletionStage<Snapshot> snapshot();
 
@@ -44,8 +60,7 @@
     CompletionStage<Changes> changes(long fromOffset, long waitMillis);
 
     /**
-     * Appends a record on condition that the topic still ends at {@code expectedEnd}, and completes with whether the record
-     * was appended. The value must not be empty.
+     * Appends a record on condition that the topic still ends at {@code expectedEnd}. The value must not be empty.
      */
-    CompletionStage<Boolean> appendAt(String key, byte[] value, long expectedEnd);
+    CompletionStage<AppendResult> appendAt(String key, byte[] value, long expectedEnd);
 }
--- a/agatehatch-core/src/main/java/org/agatehatch/api/fleet/NodeGroup.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/api/fleet/NodeGroup.java
@@ -12,9 +12,10 @@
     /**
      * The partitions that a member has after a renewal.
      *
-     * @param generation increases with each change of the group's members
+     * @param generation increases with each change of the group's members within an era
+     * @param era era of the store; see {@link KeyedTopic}
      */
-    record Assignment(long generation, Set<String> partitions) {
+    record Assignment(long generation, Set<String> partitions, long era) {
         public Assignment {
             partitions = Set.copyOf(partitions);
         }
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/NodeMembership.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/NodeMembership.java
@@ -30,7 +30,7 @@
     private final MonotonicClock clock;
     private final RandomGenerator random;
     private final Consumer<NodeView> viewListener;
-    private NodeGroup.Assignment standing = new NodeGroup.Assignment(0, Set.of());
+    private NodeGroup.Assignment standing = new NodeGroup.Assignment(0, Set.of(), 0);
     private NodeView view = NodeView.EMPTY;
     private final Set<String> removedMembers = new HashSet<>();
     private long ownersGeneration = -1;
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/PlacementLease.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/PlacementLease.java
@@ -254,8 +254,8 @@
         LeaseRecord next =
                 new LeaseRecord(self.memberName(), lease.map(LeaseRecord::token).orElse(0L) + 1);
         topic.appendAt(KEY, next.encode(), endOffset)
-                .whenComplete((done, failure) -> control.execute(() -> {
-                    if (failure != null || !done) {
+                .whenComplete((result, failure) -> control.execute(() -> {
+                    if (failure != null || !result.appended()) {
                         log.info(
                                 "event=claim_not_taken token={} cause={}",
                                 next.token(),
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/RelayedTopic.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/RelayedTopic.java
@@ -82,7 +82,7 @@
         return fromRelay(
                 source.get(),
                 -1,
-                response -> new Snapshot(response.entries(), response.nextOffset()),
+                response -> new Snapshot(response.entries(), response.nextOffset(), 0),
                 cache::add,
                 this::storeSnapshot);
     }
@@ -112,13 +112,13 @@
                 source,
                 fromOffset,
                 response -> new Changes(
-                        response.entries(), response.nextOffset(), response.nextOffset(), response.truncated()),
+                        response.entries(), response.nextOffset(), response.nextOffset(), response.truncated(), 0),
                 cache::add,
                 fallback);
     }
 
     @Override
-    public CompletionStage<Boolean> appendAt(String key, byte[] value, long expectedEnd) {
+    public CompletionStage<AppendResult> appendAt(String key, byte[] value, long expectedEnd) {
         return store.appendAt(key, value, expectedEnd);
     }
 
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/TopicFollower.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/TopicFollower.java
@@ -33,6 +33,9 @@
         /** Called when a key was removed. */
         default void onRemoved(String key) {}
 
+        /** Called before the first records of a new era of the store are applied; see {@link KeyedTopic}. */
+        default void onNewEra(long era) {}
+
         /** Called when the topic was read up to its end. */
         default void onCaughtUp() {}
     }
@@ -48,6 +51,7 @@
     private final Listener listener;
     private final Map<String, Long> offsetByKey = new HashMap<>();
     private long nextOffset = -1;
+    private long era = -1;
     private int consecutiveFailures;
     private long recoveredNanos;
     private boolean everFailed;
@@ -102,6 +106,7 @@
                         return;
                     }
                     onSuccess();
+                    observeEra(snapshot.era());
                     apply(snapshot);
                     readAfterPause();
                 }));
@@ -120,10 +125,22 @@
                         return;
                     }
                     onSuccess();
+                    observeEra(changes.era());
                     apply(changes);
                 }));
     }
 
+    private void observeEra(long observed) {
+        if (observed == era) {
+            return;
+        }
+        log.info("event=store_era topic={} era={} previous={} read_up_to={}", name, observed, era, nextOffset);
+        if (era >= 0 && observed > era) {
+            listener.onNewEra(observed);
+        }
+        era = observed;
+    }
+
     private void apply(KeyedTopic.Changes changes) {
         if (changes.truncated()) {
             log.info("event=topic_truncated topic={} offset={}", name, nextOffset);
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/FakeKeyedTopic.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/FakeKeyedTopic.java
@@ -8,48 +8,85 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
 import org.agatehatch.api.fleet.KeyedTopic;
 
-/** An in-memory keyed topic whose calls can fail and whose history can be compacted. */
+/**
+ * An in-memory keyed topic whose calls can fail, whose answers can be held back, whose history can be compacted, and which can
+ * come back from an older copy.
+ */
 final class FakeKeyedTopic implements KeyedTopic {
-    private final List<Entry> records;
+    /** What all connections to the topic share. */
+    private static final class Store {
+        private final List<Entry> records = new ArrayList<>();
+        private int firstOffset;
+        private long era = 1;
+    }
+
+    private final Store store;
     private final VirtualTime time;
     private final long latencyMillis;
-    private final long[] firstOffset;
+    private final List<Runnable> heldAnswers = new ArrayList<>();
     private boolean down;
+    private boolean holding;
     private int reads;
 
     FakeKeyedTopic(VirtualTime time, long latencyMillis) {
-        this(time, latencyMillis, new ArrayList<>(), new long[1]);
+        this(time, latencyMillis, new Store());
     }
 
-    private FakeKeyedTopic(VirtualTime time, long latencyMillis, List<Entry> records, long[] firstOffset) {
+    private FakeKeyedTopic(VirtualTime time, long latencyMillis, Store store) {
         this.time = time;
         this.latencyMillis = latencyMillis;
-        this.records = records;
-        this.firstOffset = firstOffset;
+        this.store = store;
     }
 
     /** Returns another connection to the same topic, which fails independently. */
     FakeKeyedTopic secondConnection() {
-        return new FakeKeyedTopic(time, latencyMillis, records, firstOffset);
+        return new FakeKeyedTopic(time, latencyMillis, store);
     }
 
     void put(String key, String value) {
-        records.add(new Entry(key, Optional.of(value.getBytes(StandardCharsets.UTF_8)), records.size()));
+        append(key, Optional.of(value.getBytes(StandardCharsets.UTF_8)));
     }
 
     void drop(String key) {
-        records.add(new Entry(key, Optional.empty(), records.size()));
+        append(key, Optional.empty());
+    }
+
+    private void append(String key, Optional<byte[]> value) {
+        store.records.add(new Entry(key, value, store.records.size()));
+    }
+
+    int size() {
+        return store.records.size();
     }
 
     void setDown(boolean isDown) {
         down = isDown;
     }
 
+    /** Computes answers on this connection as before, but delivers them only at {@link #releaseAnswers()}. */
+    void holdAnswers() {
+        holding = true;
+    }
+
+    void releaseAnswers() {
+        holding = false;
+        List.copyOf(heldAnswers).forEach(Runnable::run);
+        heldAnswers.clear();
+    }
+
     /** Discards the history: reads from an earlier offset are truncated, and a snapshot is needed. */
     void compact() {
-        firstOffset[0] = records.size();
+        store.firstOffset = store.records.size();
+    }
+
+    /** Comes back from a copy with the first records only, in a new era. */
+    void restoreTo(int size) {
+        store.records.subList(size, store.records.size()).clear();
+        store.firstOffset = Math.min(store.firstOffset, size);
+        store.era++;
     }
 
     int reads() {
@@ -61,11 +98,11 @@
         reads++;
         return respond(() -> {
             Map<String, Entry> newest = new LinkedHashMap<>();
-            records.forEach(entry -> newest.put(entry.key(), entry));
+            store.records.forEach(entry -> newest.put(entry.key(), entry));
             List<Entry> present = newest.values().stream()
                     .filter(entry -> entry.value().isPresent())
                     .toList();
-            return new Snapshot(present, records.size());
+            return new Snapshot(present, store.records.size(), store.era);
         });
     }
 
@@ -78,45 +115,51 @@
     }
 
     private void awaitChange(long fromOffset, long remainingMillis, CompletableFuture<Changes> result) {
-        boolean nothingNew = fromOffset >= records.size() && remainingMillis > 0 && !down;
+        boolean nothingNew = fromOffset == store.records.size() && remainingMillis > 0 && !down;
         if (nothingNew) {
             time.runAfter(10, () -> awaitChange(fromOffset, remainingMillis - 10, result));
             return;
         }
-        respond(() -> fromOffset < firstOffset[0]
-                        ? new Changes(List.of(), fromOffset, records.size(), true)
-                        : new Changes(
-                                records.subList((int) Math.min(fromOffset, records.size()), records.size()),
-                                records.size(),
-                                records.size(),
-                                false))
-                .whenComplete((changes, failure) -> {
-                    if (failure == null) {
-                        result.complete(changes);
-                    } else {
-                        result.completeExceptionally(failure);
-                    }
-                });
+        respond(() -> read(fromOffset)).whenComplete((changes, failure) -> {
+            if (failure == null) {
+                result.complete(changes);
+            } else {
+                result.completeExceptionally(failure);
+            }
+        });
+    }
+
+    private Changes read(long fromOffset) {
+        int end = store.records.size();
+        if (fromOffset < store.firstOffset || fromOffset > end) {
+            return new Changes(List.of(), fromOffset, end, true, store.era);
+        }
+        return new Changes(store.records.subList((int) fromOffset, end), end, end, false, store.era);
     }
 
     @Override
-    public CompletionStage<Boolean> appendAt(String key, byte[] value, long expectedEnd) {
+    public CompletionStage<AppendResult> appendAt(String key, byte[] value, long expectedEnd) {
         return respond(() -> {
-            if (expectedEnd != records.size()) {
-                return false;
+            boolean appended = expectedEnd == store.records.size();
+            if (appended) {
+                append(key, Optional.of(value));
             }
-            records.add(new Entry(key, Optional.of(value), records.size()));
-            return true;
+            return new AppendResult(appended, store.era);
         });
     }
 
-    private <T> CompletionStage<T> respond(java.util.function.Supplier<T> result) {
+    private <T> CompletionStage<T> respond(Supplier<T> result) {
         CompletableFuture<T> response = new CompletableFuture<>();
         time.runAfter(latencyMillis, () -> {
             if (down) {
                 response.completeExceptionally(new IllegalStateException("the store is down"));
+                return;
+            }
+            T value = result.get();
+            if (holding) {
+                heldAnswers.add(() -> response.complete(value));
             } else {
-                response.complete(result.get());
+                response.complete(value);
             }
         });
         return response;
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/NodeMembershipTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/NodeMembershipTest.java
@@ -28,6 +28,7 @@
     private final class FakeGroup implements NodeGroup {
         private final Map<String, Long> expiryMillisByMember = new LinkedHashMap<>();
         private long generation;
+        private long era;
         private int ownersCalls;
         private int leaveCalls;
         private boolean down;
@@ -45,7 +46,7 @@
                 if (expiryMillisByMember.put(member, time.millis() + TIME_TO_LIVE_MILLIS) == null) {
                     generation++;
                 }
-                return new Assignment(generation, Set.of());
+                return new Assignment(generation, Set.of(), era);
             });
         }
 
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/metrics/GatewayMetrics.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/metrics/GatewayMetrics.java
@@ -28,6 +28,7 @@
     private final Gauge quarantinedParts;
     private final Counter refusedForPart;
     private final Gauge limitedServers;
+    private final Gauge storeEra;
     private final Counter sentToLimitedServers;
     private final Histogram firstByteSeconds;
     private final Histogram requestSeconds;
@@ -66,6 +67,7 @@
         refusedForPart = counter(
                 "agatehatch_crashing_part_refusals",
                 "Requests that were not sent because of a quarantined prompt part");
+        storeEra = gauge("agatehatch_store_era", "Newest era of the store seen; rises when it comes back from a copy");
         limitedServers =
                 gauge("agatehatch_limited_servers", "Server processes that name a limit of requests per second");
         sentToLimitedServers =
@@ -153,6 +155,11 @@
         refusedForPart.inc();
     }
 
+    /** Sets the newest era of the store that this node has seen. */
+    public void storeEra(long era) {
+        storeEra.set(era);
+    }
+
     /** Sets the number of server processes that name a limit. */
     public void serversLimited(int count) {
         limitedServers.set(count);
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
@@ -149,20 +149,14 @@
         platform = platformFactory.apply(new PooledHttpClient(loop, storePool));
         configTopic = newRelayedTopic(CONFIG_TOPIC, platform.configTopic(), Arrays::equals);
         serverTopic = newRelayedTopic(SERVER_TOPIC, platform.serverTopic(), this::describesSameServer);
-        configFollower = new TopicFollower(
-                CONFIG_TOPIC, configTopic, TopicFollowerSettings.LONG_POLLING, control, clock, random, this::onConfig);
+        configFollower =
+                newFollower(CONFIG_TOPIC, configTopic, TopicFollowerSettings.LONG_POLLING, new ConfigListener());
         registry =
                 new BackendRegistry(platform.serverDecoder(), control, this::sinceStoreRegainedMillis, this::onFleet);
         peerBootstrap =
                 new PeerStateBootstrap(otherSeedNodes(settings), control, this::hasCompleteState, this::onPeerState);
-        serverFollower = new TopicFollower(
-                SERVER_TOPIC,
-                serverTopic,
-                TopicFollowerSettings.PERIODIC,
-                control,
-                clock,
-                random,
-                peerBootstrap.recording(registry));
+        serverFollower = newFollower(
+                SERVER_TOPIC, serverTopic, TopicFollowerSettings.PERIODIC, peerBootstrap.recording(registry));
         membership = newMembership();
         claim = new PlacementLease(
                 settings.self(),
@@ -203,6 +197,11 @@
                 name, topic, this::currentRelay, () -> RelaySelection.usesRelays(nodes), sameContent, control, clock);
     }
 
+    private TopicFollower newFollower(
+            String name, KeyedTopic topic, TopicFollowerSettings timing, TopicFollower.Listener listener) {
+        return new TopicFollower(name, topic, timing, control, clock, random, listener);
+    }
+
     private Optional<RelayedTopic.Relay> currentRelay() {
         return RelaySelection.relayOf(settings.self(), nodes)
                 .map(node -> new PeerAddress(node.host(), settings.peerPort()).toString())
@@ -478,6 +477,18 @@
         return serverFollower.sinceRecoveryMillis();
     }
 
+    private final class ConfigListener implements TopicFollower.Listener {
+        @Override
+        public void onValue(String key, byte[] value) {
+            onConfig(key, value);
+        }
+
+        @Override
+        public void onNewEra(long era) {
+            metrics.storeEra(era);
+        }
+    }
+
     private final class QuarantineLog implements CrashingPartDetector.Listener {
         @Override
         public void onQuarantine(String part, Set<String> processes) {
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/InMemoryNodeGroup.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/InMemoryNodeGroup.java
@@ -24,7 +24,7 @@
         if (renewedNanosByMember.put(member, System.nanoTime()) == null) {
             generation++;
         }
-        return CompletableFuture.completedFuture(new Assignment(generation, Set.of(member)));
+        return CompletableFuture.completedFuture(new Assignment(generation, Set.of(member), 0));
     }
 
     @Override
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/InMemoryTopic.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/InMemoryTopic.java
@@ -30,7 +30,7 @@
         List<Entry> present = newest.values().stream()
                 .filter(entry -> entry.value().isPresent())
                 .toList();
-        return CompletableFuture.completedFuture(new Snapshot(present, records.size()));
+        return CompletableFuture.completedFuture(new Snapshot(present, records.size(), 0));
     }
 
     @Override
@@ -46,15 +46,15 @@
     private synchronized Changes changes(long fromOffset) {
         int from = (int) Math.min(fromOffset, records.size());
         List<Entry> entries = List.copyOf(records.subList(from, records.size()));
-        return new Changes(entries, records.size(), records.size(), false);
+        return new Changes(entries, records.size(), records.size(), false, 0);
     }
 
     @Override
-    public synchronized CompletionStage<Boolean> appendAt(String key, byte[] value, long expectedEnd) {
+    public synchronized CompletionStage<AppendResult> appendAt(String key, byte[] value, long expectedEnd) {
         boolean appended = expectedEnd == records.size();
         if (appended) {
             records.add(new Entry(key, Optional.of(value), records.size()));
         }
-        return CompletableFuture.completedFuture(appended);
+        return CompletableFuture.completedFuture(new AppendResult(appended, 0));
     }
 }
