Order the entries of a server by what the server counts, not by where they stand in the store

What callers would see: with the positions of the old history gone, a restored store brings back older entries, so that a server that drains or has left is ready again and gets requests (DRAIN).

Cause: an entry counted as newer if it was read later. Class: a position of the store taken as final.

Evidence: BackendRegistryTest. On the code before, an entry with fewer renewals makes a draining server ready, and one of a server that left brings it back.

Why this works: each entry carries the start of its server's process and the number of entries that the process has written. An entry below the newest one seen is ignored, also after the server was removed. An entry that a restored store lacks is kept for the 2 s in which living servers write it again, as after an outage.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/BackendRegistry.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/BackendRegistry.java
@@ -9,6 +9,7 @@
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.ToLongFunction;
 import org.agatehatch.api.fleet.ServerEntry;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -17,7 +18,8 @@
  * The registered backend servers. Runs on the control thread and publishes a {@link FleetView} after each change.
  *
  * <p>A server whose entry is deleted during or shortly after an outage of the store stays registered for a grace period,
- * because entries also expire when the servers can't renew them.
+ * because entries also expire when the servers can't renew them. The same holds for an entry that is missing after the store
+ * came back from an older copy. Entries are compared by what their servers count, since such a copy holds older ones.
  */
 public final class BackendRegistry implements TopicFollower.Listener {
     /**
@@ -26,14 +28,50 @@
      */
     static final long EXPIRY_GRACE_MILLIS = 1_400;
 
+    /** Time after this node's first read of a restored store within which servers write missing entries again. */
+    static final long RESTORE_GRACE_MILLIS = 2_000;
+
+    /** Maximum number of servers whose last version is remembered, many times that of a deployment. */
+    private static final int MAX_VERSIONS = 8_192;
+
     private static final Logger log = LoggerFactory.getLogger(BackendRegistry.class);
 
+    /**
+     * Position of an entry among those of its server.
+     *
+     * @param startedAtMillis start of the server's process; 0 if it is not known
+     * @param renewals number of entries that the process has written before
+     */
+    private record Version(long startedAtMillis, long renewals) {
+        private boolean isOlderThan(Version other) {
+            if (startedAtMillis != other.startedAtMillis) {
+                return startedAtMillis < other.startedAtMillis;
+            }
+            return startedAtMillis > 0 && renewals < other.renewals;
+        }
+
+        private boolean isSameAs(Version other) {
+            return startedAtMillis > 0 && equals(other);
+        }
+    }
+
     private final BiFunction<String, byte[], Optional<ServerEntry>> decoder;
+    private final ToLongFunction<byte[]> renewalCount;
     private final ControlThread control;
     private final LongSupplier sinceStoreRecoveryMillis;
     private final Consumer<FleetView> publisher;
     private final Map<String, ServerEntry> entries = new LinkedHashMap<>();
     private final Map<String, ControlThread.ScheduledTask> scheduledRemovals = new HashMap<>();
+
+    /** Versions of the newest entries, also of servers that were removed. */
+    private final Map<String, Version> versions = new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Version> eldest) {
+            return size() > MAX_VERSIONS;
+        }
+    };
+
+    private int restoresInGrace;
     private boolean caughtUp;
     private boolean inBatch;
     private boolean publishPending;
@@ -42,14 +80,17 @@
      * Creates an empty registry.
      *
      * @param decoder returns empty for an entry that describes no usable server
+     * @param renewalCount returns how many entries the process that wrote an entry had written before
      * @param sinceStoreRecoveryMillis time since reads of the store succeeded again after a failure; 0 while they fail
      */
     public BackendRegistry(
             BiFunction<String, byte[], Optional<ServerEntry>> decoder,
+            ToLongFunction<byte[]> renewalCount,
             ControlThread control,
             LongSupplier sinceStoreRecoveryMillis,
             Consumer<FleetView> publisher) {
         this.decoder = decoder;
+        this.renewalCount = renewalCount;
         this.control = control;
         this.sinceStoreRecoveryMillis = sinceStoreRecoveryMillis;
         this.publisher = publisher;
@@ -63,12 +104,17 @@
             return;
         }
         ServerEntry entry = decoded.get();
-        cancelScheduledRemoval(key);
+        Version version = new Version(entry.startedAtMillis(), renewalCount.applyAsLong(value));
+        Version known = versions.get(key);
         ServerEntry before = entries.get(key);
-        if (before != null && before.startedAtMillis() > entry.startedAtMillis()) {
-            log.info("event=server_entry_ignored server={} reason=older_process", key);
+        boolean outdated = known != null && (version.isOlderThan(known) || (before == null && version.isSameAs(known)));
+        if (outdated) {
+            log.info("event=server_entry_ignored server={} reason=outdated read={} known={}", key, version, known);
             return;
         }
+        versions.remove(key);
+        versions.put(key, version);
+        cancelScheduledRemoval(key);
         entries.put(key, entry);
         if (entry.equals(before)) {
             return;
@@ -84,7 +130,8 @@
         if (!entries.containsKey(key)) {
             return;
         }
-        long graceMillis = EXPIRY_GRACE_MILLIS - sinceStoreRecoveryMillis.getAsLong();
+        long graceMillis =
+                restoresInGrace > 0 ? RESTORE_GRACE_MILLIS : EXPIRY_GRACE_MILLIS - sinceStoreRecoveryMillis.getAsLong();
         if (graceMillis > 0) {
             scheduledRemovals.computeIfAbsent(key, id -> control.schedule(graceMillis, () -> remove(id, "lapsed")));
             return;
@@ -92,6 +139,12 @@
         remove(key, "left");
     }
 
+    @Override
+    public void onNewEra(long era) {
+        restoresInGrace++;
+        control.schedule(RESTORE_GRACE_MILLIS, () -> restoresInGrace--);
+    }
+
     @Override
     public void onBatch(Runnable changes) {
         inBatch = true;
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/BackendRegistryTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/BackendRegistryTest.java
@@ -25,6 +25,7 @@
         view = FleetView.EMPTY;
         registry = new BackendRegistry(
                 BackendRegistryTest::decode,
+                BackendRegistryTest::renewals,
                 time.node(1),
                 () -> sinceStoreRecoveryMillis,
                 published -> view = published);
@@ -34,7 +35,7 @@
 
     private static Optional<ServerEntry> decode(String id, byte[] bytes) {
         String[] fields = new String(bytes, StandardCharsets.UTF_8).split(" ");
-        if (fields.length != 2) {
+        if (fields.length < 2) {
             return Optional.empty();
         }
         boolean draining = fields[0].equals("draining");
@@ -44,6 +45,12 @@
                 new ServerEntry(id, "desk", address, "d1", 6, draining, startedAtMillis, List.of(), Set.of()));
     }
 
+    /** Returns the third field of an entry; 0 without one. */
+    private static long renewals(byte[] bytes) {
+        String[] fields = new String(bytes, StandardCharsets.UTF_8).split(" ");
+        return fields.length < 3 ? 0 : Long.parseLong(fields[2]);
+    }
+
     private void put(String id, String entry) {
         registry.onValue(id, entry.getBytes(StandardCharsets.UTF_8));
     }
@@ -107,4 +114,42 @@
         put("ghost", "garbage");
         assertEquals(servers(), List.of("s1", "s2"));
     }
+
+    // Guards against a restored store whose older entries bring back servers that drain or have left.
+    @Test
+    public void an_older_entry_of_a_draining_server_is_ignored() {
+        put("s1", "draining 1 8");
+        put("s1", "ready 1 7");
+        assertEquals(servers(), List.of("s2"));
+    }
+
+    @Test
+    public void an_older_entry_of_a_server_that_left_is_ignored_until_it_registers_again() {
+        put("s1", "ready 1 8");
+        registry.onRemoved("s1");
+        put("s1", "ready 1 7");
+        put("s1", "ready 1 8");
+        assertEquals(servers(), List.of("s2"));
+        put("s1", "ready 1 9");
+        assertEquals(servers(), List.of("s2", "s1"));
+    }
+
+    @Test
+    public void a_restarted_server_counts_its_entries_anew() {
+        put("s1", "ready 1 8");
+        put("s1", "draining 2 0");
+        assertEquals(servers(), List.of("s2"));
+    }
+
+    @Test
+    public void an_entry_that_a_restored_store_lacks_is_kept_until_servers_must_have_written_again() {
+        registry.onNewEra(2);
+        registry.onRemoved("s1");
+        time.advance(1_900);
+        assertEquals(servers(), List.of("s1", "s2"));
+        time.advance(200);
+        assertEquals(servers(), List.of("s2"));
+        registry.onRemoved("s2");
+        assertEquals(servers(), List.of());
+    }
 }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
@@ -151,8 +151,12 @@
         serverTopic = newRelayedTopic(SERVER_TOPIC, platform.serverTopic(), this::describesSameServer);
         configFollower =
                 newFollower(CONFIG_TOPIC, configTopic, TopicFollowerSettings.LONG_POLLING, new ConfigListener());
-        registry =
-                new BackendRegistry(platform.serverDecoder(), control, this::sinceStoreRegainedMillis, this::onFleet);
+        registry = new BackendRegistry(
+                platform.serverDecoder(),
+                platform.renewalCount(),
+                control,
+                this::sinceStoreRegainedMillis,
+                this::onFleet);
         peerBootstrap =
                 new PeerStateBootstrap(otherSeedNodes(settings), control, this::hasCompleteState, this::onPeerState);
         serverFollower = newFollower(
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/PeerStateBootstrap.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/PeerStateBootstrap.java
@@ -80,6 +80,11 @@
                 listener.onRemoved(key);
             }
 
+            @Override
+            public void onNewEra(long era) {
+                listener.onNewEra(era);
+            }
+
             @Override
             public void onCaughtUp() {
                 listener.onCaughtUp();
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/PlatformBindings.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/PlatformBindings.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.function.BiFunction;
+import java.util.function.ToLongFunction;
 import org.agatehatch.api.fleet.FleetConfig;
 import org.agatehatch.api.fleet.KeyedTopic;
 import org.agatehatch.api.fleet.NodeGroup;
@@ -16,6 +17,7 @@
  * @param configDecoder decodes a key and record of {@code configTopic}; empty for a key that holds no configuration
  * @param serverTopic topic in which backend servers register
  * @param serverDecoder decodes a key and record of {@code serverTopic}; empty for an entry that names no usable server
+ * @param renewalCount returns how many entries the process that wrote an entry had written before
  * @param nodeGroup group of the nodes of this system
  * @param placementClaimTopic topic that records which node may send orders to runners
  * @param residencyOrders sends orders to runners
@@ -26,6 +28,7 @@
         BiFunction<String, byte[], Optional<FleetConfig>> configDecoder,
         KeyedTopic serverTopic,
         BiFunction<String, byte[], Optional<ServerEntry>> serverDecoder,
+        ToLongFunction<byte[]> renewalCount,
         NodeGroup nodeGroup,
         KeyedTopic placementClaimTopic,
         ResidencyOrders residencyOrders,
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/Cluster.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/Cluster.java
@@ -150,6 +150,7 @@
                 (key, bytes) -> Optional.of(config()),
                 serverTopic,
                 Cluster::serverEntry,
+                record -> 0,
                 group,
                 claimTopic,
                 new NoOrders(),
