Read the members of the group again after a restore of the store, and keep those known before

What callers would see: a directory that names few nodes, or nodes that have left, after the store came back from an older copy.

Cause: the owners are read when the generation of the group differs from the one seen. A restored group may have the same generation with other members, lacks the nodes that joined since the copy, and lists those that left. Class: a number of the store taken as final.

Why this works: a renewal that is answered in another era makes the node read the owners and renew without a generation. Until the time to live of a membership is over, every living node has renewed, nodes known before stay listed, and those known to have left do not come back.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/NodeMembership.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/NodeMembership.java
@@ -17,12 +17,18 @@
 
 /**
  * Keeps this node a member of the platform's group by periodic renewals and publishes the members as a {@link NodeView}.
- * The members are the owners of the group's partitions; they are read only when the group's generation has changed. Runs on
- * the control thread.
+ * The members are the owners of the group's partitions; they are read only when the group's generation has changed, or the store
+ * has come back from an older copy. Runs on the control thread.
+ *
+ * <p>Such a copy lacks the nodes that joined since and still lists those that left. Until all nodes must have renewed their
+ * membership, the nodes known before the restore stay listed, and those known to have left do not come back.
  */
 public final class NodeMembership {
     private static final Logger log = LoggerFactory.getLogger(NodeMembership.class);
 
+    /** Time for which nodes that left are remembered, longer than a copy of the store is old. */
+    private static final long LEAVE_MEMORY_MILLIS = 60_000;
+
     private final NodeIdentity self;
     private final NodeGroup group;
     private final MembershipSettings settings;
@@ -33,6 +39,10 @@
     private NodeGroup.Assignment standing = new NodeGroup.Assignment(0, Set.of(), 0);
     private NodeView view = NodeView.EMPTY;
     private final Set<String> removedMembers = new HashSet<>();
+    private NodeView viewBeforeRestore = NodeView.EMPTY;
+    private final Set<String> leftBeforeRestore = new HashSet<>();
+    private final Map<String, Long> leftMillisByMember = new LinkedHashMap<>();
+    private boolean restoring;
     private long ownersGeneration = -1;
     private boolean ownersReadInFlight;
     private long renewalSentNanos;
@@ -80,7 +90,7 @@
             return;
         }
         long sentNanos = clock.nanos();
-        group.renew(self.memberName(), standing.generation())
+        group.renew(self.memberName(), restoring ? 0 : standing.generation())
                 .whenComplete((renewed, failure) -> control.execute(() -> onRenewed(sentNanos, renewed, failure)));
     }
 
@@ -103,6 +113,9 @@
         consecutiveFailures = 0;
         renewalSentNanos = sentNanos;
         everRenewed = true;
+        if (renewed.era() != standing.era() && standing.generation() > 0) {
+            onNewEra();
+        }
         standing = renewed;
         if (renewed.generation() != ownersGeneration) {
             readOwners(renewed.generation());
@@ -112,6 +125,30 @@
                 this::renew);
     }
 
+    private void onNewEra() {
+        log.info(
+                "event=group_restored generation={} nodes={}",
+                standing.generation(),
+                view.nodes().size());
+        ownersGeneration = -1;
+        restoring = true;
+        viewBeforeRestore = view;
+        forgetOldLeaves();
+        leftBeforeRestore.addAll(leftMillisByMember.keySet());
+        control.schedule(settings.timeToLiveMillis(), () -> {
+            restoring = false;
+            viewBeforeRestore = NodeView.EMPTY;
+            leftBeforeRestore.clear();
+            // The next renewal reads the owners again.
+            ownersGeneration = -1;
+        });
+    }
+
+    private void forgetOldLeaves() {
+        long oldestMillis = clock.millis() - LEAVE_MEMORY_MILLIS;
+        leftMillisByMember.values().removeIf(leftMillis -> leftMillis < oldestMillis);
+    }
+
     private void readOwners(long generation) {
         if (ownersReadInFlight) {
             return;
@@ -132,9 +169,10 @@
 
     private NodeView viewOf(List<NodeGroup.Ownership> owners, long generation) {
         Map<String, NodeIdentity> byName = new LinkedHashMap<>();
+        viewBeforeRestore.nodes().forEach(node -> byName.put(node.name(), node));
         for (NodeGroup.Ownership ownership : owners) {
             Optional<NodeIdentity> node = NodeIdentity.parse(ownership.member());
-            if (node.isEmpty()) {
+            if (node.isEmpty() || leftBeforeRestore.contains(ownership.member())) {
                 continue;
             }
             if (isPreviousIncarnation(node.get())) {
@@ -162,6 +200,14 @@
     }
 
     private void publish(NodeView next) {
+        Set<String> listed = new HashSet<>();
+        next.nodes().forEach(node -> listed.add(node.memberName()));
+        leftMillisByMember.keySet().removeAll(listed);
+        view.nodes().stream()
+                .map(NodeIdentity::memberName)
+                .filter(member -> !listed.contains(member))
+                .forEach(member -> leftMillisByMember.put(member, clock.millis()));
+        forgetOldLeaves();
         if (!next.nodes().equals(view.nodes())) {
             log.info(
                     "event=nodes_changed generation={} nodes={}",
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/NodeMembershipTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/NodeMembershipTest.java
@@ -89,6 +89,20 @@
         }
     }
 
+    /** The members of the group at one time. */
+    private record Copy(Map<String, Long> expiryMillisByMember, long generation) {}
+
+    private Copy copy() {
+        return new Copy(new LinkedHashMap<>(group.expiryMillisByMember), group.generation);
+    }
+
+    private void restore(Copy copy) {
+        group.expiryMillisByMember.clear();
+        group.expiryMillisByMember.putAll(copy.expiryMillisByMember());
+        group.generation = copy.generation();
+        group.era++;
+    }
+
     @BeforeMethod
     public void create() {
         time = new VirtualTime();
@@ -165,4 +179,49 @@
         time.advance(5_000);
         assertEquals(names(), List.of("a"));
     }
+
+    // Guards against a view that is kept because a restored group has the same generation by chance.
+    @Test
+    public void members_are_read_again_after_a_restore_although_the_generation_is_the_same() {
+        join("a", "1");
+        time.advance(1_500);
+        Copy copy = copy();
+        NodeMembership lost = join("b", "1");
+        time.advance(1_500);
+        lost.leave();
+        restore(copy);
+        join("c", "1");
+        time.advance(TIME_TO_LIVE_MILLIS + 2_500);
+        assertEquals(names(), List.of("a", "c"));
+    }
+
+    @Test
+    public void members_that_a_restored_group_lacks_stay_listed_until_they_must_have_renewed() {
+        join("a", "1");
+        time.advance(1_500);
+        Copy copy = copy();
+        join("b", "1");
+        time.advance(1_500);
+        restore(copy);
+        for (int i = 0; i < 60; i++) {
+            time.advance(100);
+            assertEquals(names(), List.of("a", "b"));
+        }
+    }
+
+    @Test
+    public void a_member_that_left_before_a_restore_is_not_listed_again() {
+        join("a", "1");
+        NodeMembership left = join("b", "1");
+        time.advance(1_500);
+        Copy copy = copy();
+        left.leave();
+        time.advance(1_000);
+        assertEquals(names(), List.of("a"));
+        restore(copy);
+        for (int i = 0; i < 60; i++) {
+            time.advance(100);
+            assertEquals(names(), List.of("a"));
+        }
+    }
 }
