Write the placement lease again in each era of the store

What operators would see: no orders to runners after a restore of the store, or two nodes that give orders with one fencing token.

Cause: a record below the known token was taken for a stale read, so that after a restore no read confirmed the holder and no node could replace it. A node that knows only the copy would have given out tokens that were used already. An append of the old era could meet its condition by chance, and a take-over whose answer was lost skipped the wait for the former holder. Class: positions, numbers and acknowledgements of the store taken as final.

Why this works: a token begins with the era in which its record was appended, and a record is valid in that era only. Tokens of a new era are above all earlier ones, whoever remembers them. The holder appends its lease again at once and goes on if its grant was confirmed until then; others wait 0.9 s first. The condition of the append decides between them. Any node that becomes the holder, also by a read that shows its own lost take-over, waits for the former one.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/PlacementLease.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/PlacementLease.java
@@ -20,6 +20,11 @@
  * longer than that before it acts. If the holder's calls to the store fail, either the store is down and no node can replace
  * the record, or only the holder is cut off and another node may. The holder then keeps an unconfirmed grant if runners refuse
  * stale tokens.
+ *
+ * <p>A record is valid only in the era of the store in which it was appended, which its token names. After a restore of the store
+ * the newest record may be that of an earlier holder, the record of the present one may be lost, and an append may meet its
+ * condition by chance. The holder then appends its lease again; other nodes wait for that before they try. Since a token of a new
+ * era is above all earlier ones, none is given out twice even if no node remembers the lost ones.
  */
 public final class PlacementLease {
     /** Interval at which the holder reads the lease. */
@@ -34,6 +39,12 @@
     /** Delay per rank in the order of succession before a node tries to take the lease over. */
     static final long SUCCESSION_DELAY_MILLIS = 250;
 
+    /** Time that the holder has to append its lease again in a new era: a check interval, a read and an append. */
+    static final long RENEWAL_GRACE_MILLIS = 900;
+
+    /** Tokens of one era; take-overs are seconds apart. */
+    private static final int ERA_SHIFT = 32;
+
     private static final String KEY = "placement";
     private static final Logger log = LoggerFactory.getLogger(PlacementLease.class);
 
@@ -41,9 +52,14 @@
      * The lease as it is stored.
      *
      * @param member the holder's member name
-     * @param token fencing token; increases with each take-over
+     * @param token fencing token; increases with each take-over and each era of the store
      */
     record LeaseRecord(String member, long token) {
+        /** Returns the era of the store in which the record was appended. */
+        long era() {
+            return token >>> ERA_SHIFT;
+        }
+
         byte[] encode() {
             return (token + " " + member).getBytes(StandardCharsets.UTF_8);
         }
@@ -69,6 +85,8 @@
     private final Consumer<Optional<NodeIdentity>> publisher;
     private NodeView nodes = NodeView.EMPTY;
     private Optional<LeaseRecord> lease = Optional.empty();
+    private long era;
+    private boolean outdated;
     private long lastReadNanos;
     private long actFromNanos;
     private boolean readInFlight;
@@ -116,6 +134,12 @@
         }
     }
 
+    /** Reads the lease again, because the store came back from an older copy. */
+    public void onNewEra() {
+        outdated = true;
+        read();
+    }
+
     /** Reads the lease again, because the node that was assumed to hold it does not. */
     public void onHolderMismatch() {
         read();
@@ -126,14 +150,18 @@
         if (!isHolder() || clock.nanos() - actFromNanos < 0) {
             return Optional.empty();
         }
-        boolean recent = everRead && millisSince(lastReadNanos) < MAX_CHECK_AGE_MILLIS;
-        boolean confirmed = recent && membershipValid.getAsBoolean();
+        boolean confirmed = isConfirmed();
         boolean unconfirmed = runnersCheckTokens && readFailing;
         return confirmed || unconfirmed
                 ? Optional.of(new PlacementGrant(lease.orElseThrow().token(), confirmed))
                 : Optional.empty();
     }
 
+    private boolean isConfirmed() {
+        boolean recent = everRead && millisSince(lastReadNanos) < MAX_CHECK_AGE_MILLIS;
+        return recent && membershipValid.getAsBoolean();
+    }
+
     /** Returns the order in which nodes take the lease over: by processor capacity, highest first. */
     static List<NodeIdentity> successionOrder(NodeView view) {
         return view.nodes().stream()
@@ -158,16 +186,17 @@
                     onRead(snapshot, requestedNanos);
                     boolean stillHolds =
                             lease.isPresent() && lease.get().member().equals(unresponsive.memberName());
-                    if (stillHolds && membershipValid.getAsBoolean()) {
-                        takeOver(snapshot.endOffset());
+                    if (stillHolds && snapshot.era() == era && membershipValid.getAsBoolean()) {
+                        append(snapshot.endOffset());
                     }
                 }));
     }
 
     private void check() {
-        // A node that is not the holder reads only after a membership change, or while the known holder is not in the
-        // group.
-        if (isHolder() || holderLeft() || membershipChangedSinceRead) {
+        // A node that is not the holder reads only after a membership change, while the known holder is not in the
+        // group, or
+        // while no lease of the present era is known.
+        if (isHolder() || holderLeft() || membershipChangedSinceRead || outdated) {
             read();
         }
         control.schedule(CHECK_INTERVAL_MILLIS, this::check);
@@ -207,21 +236,41 @@
     }
 
     private void onRead(KeyedTopic.Snapshot snapshot, long requestedNanos) {
+        if (snapshot.era() < era) {
+            return;
+        }
+        era = snapshot.era();
         Optional<LeaseRecord> found = snapshot.entries().stream()
                 .filter(entry -> entry.key().equals(KEY))
                 .findFirst()
                 .flatMap(KeyedTopic.Entry::value)
                 .flatMap(LeaseRecord::decode);
         long foundToken = found.map(LeaseRecord::token).orElse(0L);
-        if (foundToken < lease.map(LeaseRecord::token).orElse(0L)) {
-            // The read is stale, because tokens only increase.
+        long knownToken = lease.map(LeaseRecord::token).orElse(0L);
+        outdated = found.isEmpty() || found.get().era() != era;
+        if (!outdated) {
+            if (foundToken < knownToken) {
+                // The read is stale, because tokens only increase.
+                return;
+            }
+            updateLease(found);
+            everRead = true;
+            lastReadNanos = requestedNanos;
+            if (holderLeft() && membershipValid.getAsBoolean()) {
+                scheduleTakeOver(snapshot.endOffset(), 0);
+            }
+            return;
+        }
+        if (foundToken > knownToken) {
+            updateLease(found);
+        }
+        if (nodes.generation() == 0 || !membershipValid.getAsBoolean()) {
             return;
         }
-        everRead = true;
-        lastReadNanos = requestedNanos;
-        updateLease(found);
-        if (holderLeft() && membershipValid.getAsBoolean()) {
-            scheduleTakeOver(snapshot.endOffset(), nodes.generation());
+        if (isHolder()) {
+            append(snapshot.endOffset());
+        } else {
+            scheduleTakeOver(snapshot.endOffset(), holderLeft() ? 0 : RENEWAL_GRACE_MILLIS);
         }
     }
 
@@ -229,6 +278,13 @@
         if (found.equals(lease)) {
             return;
         }
+        boolean own = found.isPresent() && found.get().member().equals(self.memberName());
+        boolean heldBefore =
+                isHolder() && (lease.map(LeaseRecord::era).equals(found.map(LeaseRecord::era)) || isConfirmed());
+        if (own && !heldBefore) {
+            // Another node may have acted until now, whether the take-over was confirmed or a read shows it.
+            actFromNanos = clock.nanos() + TAKEOVER_WAIT_MILLIS * 1_000_000;
+        }
         lease = found;
         log.info(
                 "event=placement_holder holder={} token={} own={}",
@@ -238,33 +294,52 @@
         publisher.accept(found.flatMap(present -> NodeIdentity.parse(present.member())));
     }
 
-    /** Schedules a take-over with a delay by rank in the order of succession, so that the nodes don't all write at once. */
-    private void scheduleTakeOver(long endOffset, long generation) {
+    /**
+     * Schedules a take-over with a delay by rank in the order of succession, so that the nodes don't all write at once.
+     *
+     * @param graceMillis additional delay for a holder that may still append its lease
+     */
+    private void scheduleTakeOver(long endOffset, long graceMillis) {
         int rank = Math.max(0, successionOrder(nodes).indexOf(self));
         Optional<LeaseRecord> observed = lease;
-        control.schedule(rank * SUCCESSION_DELAY_MILLIS, () -> {
-            boolean unchanged = lease.equals(observed) && nodes.generation() == generation;
-            if (unchanged && holderLeft() && membershipValid.getAsBoolean()) {
-                takeOver(endOffset);
+        long observedEra = era;
+        long generation = nodes.generation();
+        control.schedule(graceMillis + rank * SUCCESSION_DELAY_MILLIS, () -> {
+            boolean unchanged = lease.equals(observed) && era == observedEra && nodes.generation() == generation;
+            boolean vacant = holderLeft() || lease.map(LeaseRecord::era).orElse(0L) < era;
+            if (unchanged && vacant && membershipValid.getAsBoolean()) {
+                append(endOffset);
             }
         });
     }
 
-    private void takeOver(long endOffset) {
-        LeaseRecord next =
-                new LeaseRecord(self.memberName(), lease.map(LeaseRecord::token).orElse(0L) + 1);
+    /** Appends a lease of this node, which takes it over, or writes it again in a new era. */
+    private void append(long endOffset) {
+        long expectedEra = era;
+        long sentNanos = clock.nanos();
+        long lastToken =
+                Math.max(era << ERA_SHIFT, lease.map(LeaseRecord::token).orElse(0L));
+        LeaseRecord next = new LeaseRecord(self.memberName(), lastToken + 1);
         topic.appendAt(KEY, next.encode(), endOffset)
                 .whenComplete((result, failure) -> control.execute(() -> {
-                    if (failure != null || !result.appended()) {
+                    boolean appended =
+                            failure == null && result.appended() && result.era() == expectedEra && era == expectedEra;
+                    if (!appended) {
                         log.info(
                                 "event=claim_not_taken token={} cause={}",
                                 next.token(),
-                                failure == null ? "another node was first" : failure.toString());
+                                failure != null
+                                        ? failure.toString()
+                                        : result.appended()
+                                                ? "the store came back from a copy"
+                                                : "another node was first");
                         read();
                         return;
                     }
-                    actFromNanos = clock.nanos() + TAKEOVER_WAIT_MILLIS * 1_000_000;
+                    outdated = false;
                     updateLease(Optional.of(next));
+                    everRead = true;
+                    lastReadNanos = sentNanos;
                 }));
     }
 
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/PlacementLeaseTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/PlacementLeaseTest.java
@@ -218,4 +218,101 @@
         time.advance(LEASE_MILLIS);
         holder();
     }
+
+    // Guards against a lease whose record a restored store has lost or replaced by an older one.
+    @Test
+    public void the_holder_writes_its_lease_again_after_a_restore_and_goes_on() {
+        Node first = holder();
+        first.member = false;
+        publishMembership();
+        time.advance(4_000);
+        Node second = holder();
+        long token = second.lease.currentGrant().orElseThrow().token();
+        first.member = true;
+        publishMembership();
+        time.advance(2_000);
+        topic.restoreTo(1);
+        nodes.forEach(node -> node.thread.execute(node.lease::onNewEra));
+        for (int i = 0; i < 60; i++) {
+            time.advance(100);
+            assertEquals(holder().index, second.index);
+        }
+        assertTrue(second.lease.currentGrant().orElseThrow().token() > token);
+        nodes.forEach(node -> assertEquals(node.holder, Optional.of(second.identity)));
+        assertEquals(topic.size(), 2, "records: that of the copy, and the one written again");
+        assertEquals(violations, List.of());
+    }
+
+    @Test
+    public void a_holder_that_is_lost_with_the_restore_is_replaced_with_a_token_above_all_lost_ones() {
+        Node first = holder();
+        first.member = false;
+        publishMembership();
+        time.advance(4_000);
+        Node second = holder();
+        long lostToken = second.lease.currentGrant().orElseThrow().token();
+        second.thread.pause();
+        topic.restoreTo(1);
+        nodes.clear();
+        for (int i = 0; i < NODES; i++) {
+            nodes.add(new Node(i + 10));
+        }
+        nodes.forEach(node -> node.lease.start());
+        publishMembership();
+        time.advance(8_000);
+        assertTrue(holder().lease.currentGrant().orElseThrow().token() > lostToken);
+    }
+
+    @Test
+    public void a_former_holder_that_the_copy_names_does_not_act_beside_the_present_one() {
+        Node first = holder();
+        first.thread.pause();
+        time.advance(LEASE_MILLIS);
+        first.member = false;
+        publishMembership();
+        time.advance(5_000);
+        Node second = holder();
+        topic.restoreTo(1);
+        first.member = true;
+        first.thread.resume();
+        publishMembership();
+        nodes.forEach(node -> node.thread.execute(node.lease::onNewEra));
+        time.advance(8_000);
+        holder();
+        assertTrue(second.lease.currentGrant().isPresent()
+                || first.lease.currentGrant().isPresent());
+        assertEquals(violations, List.of());
+    }
+
+    @Test
+    public void an_append_of_the_old_era_that_meets_its_condition_by_chance_gives_no_grant() {
+        Node oldHolder = holder();
+        topic.restoreTo(0);
+        topic.put(
+                "placement",
+                new PlacementLease.LeaseRecord(nodes.get(3).identity.memberName(), 1).toString());
+        topic.appendAt(
+                "placement",
+                new PlacementLease.LeaseRecord(nodes.get(2).identity.memberName(), 9).encode(),
+                1);
+        time.advance(5_000);
+        assertEquals(holder().index, oldHolder.index);
+        assertEquals(violations, List.of());
+    }
+
+    @Test
+    public void a_take_over_whose_answer_is_lost_waits_like_any_other() {
+        Node oldHolder = holder();
+        oldHolder.thread.pause();
+        oldHolder.member = false;
+        topic.holdAnswers();
+        publishMembership();
+        time.advance(3_000);
+        topic.releaseAnswers();
+        time.advance(6_000);
+        oldHolder.thread.resume();
+        time.advance(3_000);
+        holder();
+        assertEquals(violations, List.of());
+    }
 }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
@@ -490,6 +490,7 @@
         @Override
         public void onNewEra(long era) {
             metrics.storeEra(era);
+            claim.onNewEra();
         }
     }
 
