Drop the positions of a topic when the store comes back from an older copy

Cause: a follower never let its position go back and skipped records below the last offset of their key. A restored store gives offsets out again, so that new records were skipped until the topics had grown past the old positions. Class: a position of the store taken as final.

Why this works: each answer names the era of the store. Offsets are compared within an era only. Relays pass the era on, and a node reads from a relay only in the same or a newer era.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/RelayedTopic.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/RelayedTopic.java
@@ -69,8 +69,8 @@
     }
 
     /** Returns the response to another node's request. */
-    public TopicMessages.Response respond(long fromOffset) {
-        return cache.respond(fromOffset);
+    public TopicMessages.Response respond(TopicMessages.Request request) {
+        return cache.respond(request.era(), request.fromOffset());
     }
 
     @Override
@@ -82,7 +82,7 @@
         return fromRelay(
                 source.get(),
                 -1,
-                response -> new Snapshot(response.entries(), response.nextOffset(), 0),
+                response -> new Snapshot(response.entries(), response.nextOffset(), response.era()),
                 cache::add,
                 this::storeSnapshot);
     }
@@ -112,7 +112,11 @@
                 source,
                 fromOffset,
                 response -> new Changes(
-                        response.entries(), response.nextOffset(), response.nextOffset(), response.truncated(), 0),
+                        response.entries(),
+                        response.nextOffset(),
+                        response.nextOffset(),
+                        response.truncated(),
+                        response.era()),
                 cache::add,
                 fallback);
     }
@@ -134,7 +138,7 @@
             Consumer<T> cacheUpdate,
             Supplier<CompletionStage<T>> fallback) {
         CompletableFuture<T> result = new CompletableFuture<>();
-        source.apply(new TopicMessages.Request(name, fromOffset))
+        source.apply(new TopicMessages.Request(name, cache.era(), fromOffset))
                 .whenComplete((response, failure) -> control.execute(() -> {
                     if (failure == null && response.current()) {
                         T value = converter.apply(response);
@@ -165,8 +169,9 @@
         return store.snapshot()
                 .thenApplyAsync(
                         snapshot -> {
-                            cache.onStoreRead(sentNanos);
-                            cache.add(snapshot);
+                            if (cache.add(snapshot)) {
+                                cache.onStoreRead(sentNanos);
+                            }
                             return snapshot;
                         },
                         control::execute);
@@ -177,8 +182,9 @@
         return store.changes(fromOffset, waitMillis)
                 .thenApplyAsync(
                         changes -> {
-                            cache.onStoreRead(waitMillis > 0 ? clock.nanos() : sentNanos);
-                            cache.add(changes);
+                            if (cache.add(changes)) {
+                                cache.onStoreRead(waitMillis > 0 ? clock.nanos() : sentNanos);
+                            }
                             relayFailed = relayFailed && usableRelay().isEmpty();
                             return changes;
                         },
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/TopicFollower.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/TopicFollower.java
@@ -13,11 +13,13 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Follows a keyed topic: reads a snapshot, then the changes, and reads a snapshot again if the store no longer has
- * the next changes. Runs on the control thread.
+ * Follows a keyed topic: reads a snapshot, then the changes, and reads a snapshot again if the store does not have the next
+ * changes or has come back from an older copy. Runs on the control thread.
  *
- * <p>Stale responses are harmless: a record is applied only if its offset is above the last offset of its key, and a
- * missing key counts as removed only in a snapshot that is not older than what was read before.
+ * <p>Stale responses are harmless: one of an earlier era is discarded, a record is applied only if its offset is above the last
+ * offset of its key in its era, and a missing key counts as removed only in a snapshot that is not older than what was read
+ * before. In a new era all records of the first snapshot are applied, also older ones: listeners that must not go back compare
+ * the content.
  */
 public final class TopicFollower {
     /** Receives the changes of the topic in order. */
@@ -42,6 +44,9 @@
 
     private static final Logger log = LoggerFactory.getLogger(TopicFollower.class);
 
+    /** Below all offsets. */
+    private static final long UNREAD = -1;
+
     private final String name;
     private final KeyedTopic topic;
     private final TopicFollowerSettings settings;
@@ -50,7 +55,7 @@
     private final RandomGenerator random;
     private final Listener listener;
     private final Map<String, Long> offsetByKey = new HashMap<>();
-    private long nextOffset = -1;
+    private long nextOffset = UNREAD;
     private long era = -1;
     private int consecutiveFailures;
     private long recoveredNanos;
@@ -85,8 +90,8 @@
     }
 
     /**
-     * Returns the time since reads succeeded again after a failure: 0 while they fail, and {@code Long.MAX_VALUE} if
-     * none has failed yet.
+     * Returns the time since reads succeeded again after a failure, or since a new era was seen: 0 while reads fail, and
+     * {@code Long.MAX_VALUE} if none has failed yet.
      */
     public long sinceRecoveryMillis() {
         if (!everFailed) {
@@ -106,9 +111,7 @@
                         return;
                     }
                     onSuccess();
-                    observeEra(snapshot.era());
                     apply(snapshot);
-                    readAfterPause();
                 }));
     }
 
@@ -125,23 +128,41 @@
                         return;
                     }
                     onSuccess();
-                    observeEra(changes.era());
                     apply(changes);
                 }));
     }
 
-    private void observeEra(long observed) {
+    /** Returns whether a response belongs to the present or to a new era. In a new era, positions of the last one are dropped. */
+    private boolean acceptEra(long observed) {
+        if (observed < era) {
+            log.info("event=answer_of_earlier_era topic={} era={} current={}", name, observed, era);
+            return false;
+        }
         if (observed == era) {
-            return;
+            return true;
         }
+        boolean restored = era >= 0;
         log.info("event=store_era topic={} era={} previous={} read_up_to={}", name, observed, era, nextOffset);
-        if (era >= 0 && observed > era) {
+        era = observed;
+        if (restored) {
+            nextOffset = UNREAD;
+            offsetByKey.replaceAll((key, offset) -> UNREAD);
+            everFailed = true;
+            recoveredNanos = clock.nanos();
             listener.onNewEra(observed);
         }
-        era = observed;
+        return true;
     }
 
     private void apply(KeyedTopic.Changes changes) {
+        if (!acceptEra(changes.era())) {
+            retryStale();
+            return;
+        }
+        if (nextOffset == UNREAD) {
+            snapshot();
+            return;
+        }
         if (changes.truncated()) {
             log.info("event=topic_truncated topic={} offset={}", name, nextOffset);
             snapshot();
@@ -158,10 +179,15 @@
     }
 
     private void apply(KeyedTopic.Snapshot snapshot) {
+        if (!acceptEra(snapshot.era())) {
+            retryStale();
+            return;
+        }
         boolean stale = snapshot.endOffset() < nextOffset;
         listener.onBatch(() -> snapshot.entries().forEach(this::apply));
         if (stale) {
             log.warn("event=stale_snapshot topic={} end={} read_up_to={}", name, snapshot.endOffset(), nextOffset);
+            retryStale();
             return;
         }
         Set<String> present = new HashSet<>();
@@ -174,6 +200,12 @@
         }
         nextOffset = snapshot.endOffset();
         listener.onCaughtUp();
+        readAfterPause();
+    }
+
+    /** Reads again after a stale response, which may be followed by others, so not at once. */
+    private void retryStale() {
+        control.schedule(settings.initialBackoffMillis(), nextOffset == UNREAD ? this::snapshot : this::read);
     }
 
     private void apply(KeyedTopic.Entry entry) {
@@ -217,6 +249,6 @@
         }
         long pauseMillis = Backoff.millis(
                 consecutiveFailures, settings.initialBackoffMillis(), settings.maxBackoffMillis(), random);
-        control.schedule(pauseMillis, nextOffset < 0 ? this::snapshot : this::read);
+        control.schedule(pauseMillis, nextOffset == UNREAD ? this::snapshot : this::read);
     }
 }
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/TopicMessages.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/TopicMessages.java
@@ -22,9 +22,10 @@
     /**
      * Requests the changed records of a topic.
      *
+     * @param era era of the store in which the requesting node has read the topic; negative if it has not
      * @param fromOffset first offset that the requesting node has not read; negative to request all records
      */
-    public record Request(String topic, long fromOffset) {}
+    public record Request(String topic, long era, long fromOffset) {}
 
     /**
      * The changed records of a topic.
@@ -32,10 +33,12 @@
      * @param current whether the responding node has read the store recently and is not behind the requesting node
      * @param truncated whether changes are missing, so that the requesting node must read a snapshot again
      * @param nextOffset first offset that the response does not cover
+     * @param era era of the store in which the responding node has read the records
      */
-    public record Response(boolean current, boolean truncated, List<KeyedTopic.Entry> entries, long nextOffset) {
+    public record Response(
+            boolean current, boolean truncated, List<KeyedTopic.Entry> entries, long nextOffset, long era) {
         /** Response of a node that is not current. */
-        public static final Response NOT_CURRENT = new Response(false, false, List.of(), -1);
+        public static final Response NOT_CURRENT = new Response(false, false, List.of(), -1, -1);
 
         public Response {
             entries = List.copyOf(entries);
@@ -45,13 +48,14 @@
     /** Encodes a request. */
     public static PeerMessage encode(Request request) {
         return new PeerMessage(
-                REQUEST_TYPE, MessagePackValues.encode(Map.of("t", request.topic(), "f", request.fromOffset())));
+                REQUEST_TYPE,
+                MessagePackValues.encode(Map.of("t", request.topic(), "a", request.era(), "f", request.fromOffset())));
     }
 
     /** Decodes a request. */
     public static Request decodeRequest(PeerMessage message) {
         Fields fields = fields(message);
-        return new Request(fields.text("t"), fields.integer("f"));
+        return new Request(fields.text("t"), fields.integer("a"), fields.integer("f"));
     }
 
     /** Encodes a response. */
@@ -64,6 +68,7 @@
         body.put("c", response.current());
         body.put("g", response.truncated());
         body.put("n", response.nextOffset());
+        body.put("a", response.era());
         body.put("e", entries);
         return new PeerMessage(RESPONSE_TYPE, MessagePackValues.encode(body));
     }
@@ -74,7 +79,7 @@
         List<KeyedTopic.Entry> entries = fields.maps("e").stream()
                 .map(entry -> new KeyedTopic.Entry(entry.text("k"), value(entry.bytes("v")), entry.integer("o")))
                 .toList();
-        return new Response(fields.flag("c"), fields.flag("g"), entries, fields.integer("n"));
+        return new Response(fields.flag("c"), fields.flag("g"), entries, fields.integer("n"), fields.integer("a"));
     }
 
     private static Optional<byte[]> value(byte[] bytes) {
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/TopicRelayCache.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/TopicRelayCache.java
@@ -35,6 +35,7 @@
     private final MonotonicClock clock;
     private final Map<String, CachedEntry> entriesByKey = new LinkedHashMap<>();
     private final Deque<KeyedTopic.Entry> removals = new ArrayDeque<>();
+    private long era = -1;
     private long completeFromOffset;
     private long nextOffset = -1;
     private long storeReadNanos;
@@ -51,19 +52,42 @@
         storeReadNanos = asOfNanos;
     }
 
-    /** Adds changes that this node has read. */
-    void add(KeyedTopic.Changes changes) {
-        if (changes.truncated()) {
-            return;
+    /** Returns the era of the records; negative if there are none. */
+    long era() {
+        return era;
+    }
+
+    /** Returns whether records of an era belong here. Those of a new era replace all others. */
+    private boolean acceptEra(long observed) {
+        if (observed > era) {
+            era = observed;
+            entriesByKey.clear();
+            removals.clear();
+            nextOffset = -1;
+        }
+        return observed == era;
+    }
+
+    /** Adds changes that this node has read, and returns whether they are of the newest era. */
+    boolean add(KeyedTopic.Changes changes) {
+        if (!acceptEra(changes.era())) {
+            return false;
+        }
+        if (changes.truncated() || nextOffset < 0) {
+            return true;
         }
         changes.entries().forEach(this::add);
         nextOffset = Math.max(nextOffset, changes.nextOffset());
+        return true;
     }
 
-    /** Adds a snapshot that this node has read. */
-    void add(KeyedTopic.Snapshot snapshot) {
+    /** Adds a snapshot that this node has read, and returns whether it is of the newest era. */
+    boolean add(KeyedTopic.Snapshot snapshot) {
+        if (!acceptEra(snapshot.era())) {
+            return false;
+        }
         if (snapshot.endOffset() < nextOffset) {
-            return;
+            return true;
         }
         Set<String> present = new HashSet<>();
         for (KeyedTopic.Entry entry : snapshot.entries()) {
@@ -76,6 +100,7 @@
             completeFromOffset = snapshot.endOffset();
         }
         nextOffset = snapshot.endOffset();
+        return true;
     }
 
     private void add(KeyedTopic.Entry entry) {
@@ -101,15 +126,16 @@
         }
     }
 
-    /** Returns the response to a node that has read up to an offset; a negative offset requests all records. */
-    TopicMessages.Response respond(long fromOffset) {
+    /** Returns the response to a node that has read up to an offset of an era; a negative offset requests all records. */
+    TopicMessages.Response respond(long readerEra, long fromOffset) {
         boolean current =
                 everReadStore && nextOffset >= 0 && (clock.nanos() - storeReadNanos) / 1_000_000 <= MAX_AGE_MILLIS;
-        if (!current || fromOffset > nextOffset) {
+        if (!current || readerEra > era || (readerEra == era && fromOffset > nextOffset)) {
             return TopicMessages.Response.NOT_CURRENT;
         }
-        boolean truncated = fromOffset >= 0 && fromOffset < completeFromOffset;
-        return new TopicMessages.Response(true, truncated, truncated ? List.of() : entriesFrom(fromOffset), nextOffset);
+        boolean truncated = fromOffset >= 0 && (readerEra < era || fromOffset < completeFromOffset);
+        return new TopicMessages.Response(
+                true, truncated, truncated ? List.of() : entriesFrom(fromOffset), nextOffset, era);
     }
 
     private List<KeyedTopic.Entry> entriesFrom(long fromOffset) {
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/RelayedTopicTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/RelayedTopicTest.java
@@ -67,9 +67,8 @@
         CompletableFuture<TopicMessages.Response> response = new CompletableFuture<>();
         if (relayResponds) {
             time.runAfter(2, () -> {
-                TopicMessages.Response decoded = TopicMessages.decodeResponse(
-                        TopicMessages.encode(relay.respond(TopicMessages.decodeRequest(TopicMessages.encode(request))
-                                .fromOffset())));
+                TopicMessages.Response decoded = TopicMessages.decodeResponse(TopicMessages.encode(
+                        relay.respond(TopicMessages.decodeRequest(TopicMessages.encode(request)))));
                 entriesSent += decoded.entries().size();
                 response.complete(decoded);
             });
@@ -135,7 +134,8 @@
                 .start();
         for (int i = 0; i < 50; i++) {
             time.advance(200);
-            assertTrue(config.respond(0).current(), "after " + time.millis() + " ms");
+            assertTrue(
+                    config.respond(new TopicMessages.Request("c", 1, 0)).current(), "after " + time.millis() + " ms");
         }
     }
 
@@ -184,4 +184,31 @@
         assertEquals(stateByKey, Map.of("r2", "ready"));
         assertTrue(requests > 0);
     }
+
+    // Guards against a relay or a reader that goes on with the offsets of a lost history.
+    @Test
+    public void a_reader_learns_changes_after_a_restore_from_its_relay() {
+        store.put("r2", "ready 1");
+        time.advance(MAX_PROPAGATION_MILLIS);
+        store.restoreTo(1);
+        store.put("r3", "ready 1");
+        time.advance(2 * MAX_PROPAGATION_MILLIS);
+        assertEquals(stateByKey, Map.of("r1", "ready", "r3", "ready"));
+        assertEquals(readerConnection.reads(), 0);
+    }
+
+    @Test
+    public void a_relay_that_has_not_seen_a_restore_is_not_read_by_a_node_that_has() {
+        store.put("r2", "ready 1");
+        time.advance(MAX_PROPAGATION_MILLIS);
+        relayResponds = false;
+        time.advance(1_000);
+        store.restoreTo(1);
+        store.put("r3", "ready 1");
+        store.holdAnswers();
+        time.advance(1_500);
+        relayResponds = true;
+        time.advance(5_000);
+        assertEquals(stateByKey, Map.of("r1", "ready", "r3", "ready"));
+    }
 }
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/TopicFollowerTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/TopicFollowerTest.java
@@ -104,4 +104,82 @@
         time.advance(3_000);
         assertTrue(follower.sinceRecoveryMillis() >= 2_000);
     }
+
+    // Guards against records that are skipped because the store gave their offsets out before.
+    @Test
+    public void records_after_a_restore_are_applied_although_their_offsets_were_read_before() {
+        topic.put("config", "2");
+        topic.put("server", "a");
+        time.advance(50);
+        topic.restoreTo(1);
+        topic.put("config", "3");
+        time.advance(MAX_PROPAGATION_MILLIS);
+        assertEquals(valueByKey, Map.of("config", "3"));
+        topic.put("server", "b");
+        time.advance(50);
+        assertEquals(valueByKey, Map.of("config", "3", "server", "b"));
+    }
+
+    @Test
+    public void a_restore_to_a_copy_that_has_grown_past_the_position_is_noticed() {
+        topic.put("config", "2");
+        time.advance(50);
+        topic.setDown(true);
+        topic.restoreTo(1);
+        topic.put("config", "3");
+        topic.put("server", "b");
+        topic.put("other", "c");
+        topic.setDown(false);
+        time.advance(MAX_PROPAGATION_MILLIS);
+        assertEquals(valueByKey, Map.of("config", "3", "server", "b", "other", "c"));
+    }
+
+    @Test
+    public void two_restores_in_a_row_lose_no_record() {
+        for (int i = 2; i < 6; i++) {
+            topic.put("config", "lost " + i);
+            time.advance(30);
+            topic.restoreTo(1);
+            topic.put("config", Integer.toString(i));
+        }
+        time.advance(MAX_PROPAGATION_MILLIS);
+        assertEquals(valueByKey, Map.of("config", "5"));
+    }
+
+    @Test
+    public void a_restore_causes_two_reads_and_no_loop() {
+        topic.put("config", "2");
+        time.advance(50);
+        topic.restoreTo(1);
+        int before = topic.reads();
+        time.advance(1_900);
+        assertTrue(topic.reads() - before <= 3, "reads: " + (topic.reads() - before));
+    }
+
+    @Test
+    public void an_answer_of_an_earlier_era_changes_nothing() {
+        FakeKeyedTopic slowConnection = topic.secondConnection();
+        topic = slowConnection;
+        valueByKey.clear();
+        TopicFollower slow = follower(TopicFollowerSettings.LONG_POLLING);
+        slow.start();
+        time.advance(100);
+        slowConnection.put("config", "lost");
+        slowConnection.holdAnswers();
+        time.advance(100);
+        slowConnection.restoreTo(1);
+        slowConnection.put("config", "3");
+        slowConnection.releaseAnswers();
+        time.advance(MAX_PROPAGATION_MILLIS);
+        assertEquals(valueByKey, Map.of("config", "3"));
+    }
+
+    @Test
+    public void a_new_era_counts_as_a_recovery() {
+        topic.put("config", "2");
+        time.advance(50);
+        topic.restoreTo(1);
+        time.advance(500);
+        assertTrue(follower.sinceRecoveryMillis() <= 500);
+    }
 }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
@@ -442,8 +442,8 @@
 
     private TopicMessages.Response answerTopicQuestion(TopicMessages.Request question) {
         return switch (question.topic()) {
-            case CONFIG_TOPIC -> configTopic.respond(question.fromOffset());
-            case SERVER_TOPIC -> serverTopic.respond(question.fromOffset());
+            case CONFIG_TOPIC -> configTopic.respond(question);
+            case SERVER_TOPIC -> serverTopic.respond(question);
             default ->
                 throw new IllegalArgumentException(
                         "topic '" + question.topic() + "' is not relayed; the asking node runs another version");
