Ask a peer for the newest configuration at the start of a node

What callers saw: a node that started after a restore of the store served the configuration of the copy and answered 404 to a route that all other nodes served.

Cause: a starting node took the store's newest record for the newest configuration and asked other nodes only if the store was silent. Class: what the store says taken as final.

Evidence: RestoredStoreTest, the case of a node that restarts: 404 before, served now.

Why this works: versions of the configuration only rise, so that the higher one of the store and of a peer is in force. One question to the first of the known hosts that answers is asked at each start.

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/PeerStateBootstrap.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/PeerStateBootstrap.java
@@ -16,7 +16,8 @@
 
 /**
  * Fetches the configuration and the server records from other nodes if this node starts while the store is unreachable, and
- * serves the same state to others. Runs on the control thread.
+ * serves the same state to others. Asks for the configuration even if the store answers, since a store that came back from an
+ * older copy may lack the newest one. Runs on the control thread.
  */
 final class PeerStateBootstrap {
     private static final Logger log = LoggerFactory.getLogger(PeerStateBootstrap.class);
@@ -56,10 +57,25 @@
     /** Schedules the first request for state. Peers are asked only while this node's state is incomplete. */
     void start(TcpPeerTransport transport) {
         if (!peers.isEmpty()) {
+            requestConfig(transport, peers.size());
             control.schedule(INITIAL_DELAY_MILLIS, () -> requestState(transport));
         }
     }
 
+    private void requestConfig(TcpPeerTransport transport, int attemptsLeft) {
+        String peer = peers.get(nextPeer++ % peers.size());
+        transport
+                .ask(peer, StateMessages.request(), REQUEST_TIMEOUT_MILLIS)
+                .thenApply(StateMessages::decode)
+                .whenComplete((state, failure) -> control.execute(() -> {
+                    if (failure == null && state.config().isPresent()) {
+                        receiver.accept(new StateMessages.StoredState(state.config(), Map.of()));
+                    } else if (attemptsLeft > 1) {
+                        requestConfig(transport, attemptsLeft - 1);
+                    }
+                }));
+    }
+
     /** Returns a listener that records the newest record of each server and delegates to the given listener. */
     TopicFollower.Listener recording(TopicFollower.Listener listener) {
         return new TopicFollower.Listener() {
