Let streams go on only at the software version that began them

What callers saw in the users' report: streams joined from two versions of the servers' software, after all nodes had restarted during a release. Here a broken or silent stream was also continued by the node itself at any server of the service.

Cause: no code read the version of a server's software, nor the attempt that a caller names in Resumes. Class: runs are taken for interchangeable that are not.

Evidence: StreamVersionTest, 5 of 6 cases fail with the choice of a server as before; 8 of 12 take-ups at another node went on at the other version. Now none does, and all 12 go on.

Why this works: an attempt at a started stream is sent only to servers of the version that sent the first event. Each node records the service and version of the resumable streams that it begins in a log of the store, and looks up those that it does not know, so that a restart of all nodes loses nothing. Without a record, a stream goes on only if all servers of its service had one version for as long as the route lets a stream last, as observed by this process. Otherwise, and if no server of the version is left, it is refused at once.

--- a/agatehatch-core/src/main/java/org/agatehatch/api/fleet/ServerEntry.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/api/fleet/ServerEntry.java
@@ -11,6 +11,7 @@
  * @param failureDomain failure domain of the server
  * @param draining whether the server is about to leave and takes no new requests
  * @param startedAtMillis time of day at which the server's process started, by the server's clock; identifies the process
+ * @param softwareVersion version of the server's software; a stream may go on only at the version that began it
  * @param models models that the server has loaded
  * @param locallyCachedModels models whose weights the server has in host memory or on disk, so that it can load them without
  *     the weight store
@@ -23,6 +24,7 @@
         int slots,
         boolean draining,
         long startedAtMillis,
+        String softwareVersion,
         List<ResidentModel> models,
         Set<String> locallyCachedModels) {
     public ServerEntry {
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/request/ServerChoiceRequest.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/request/ServerChoiceRequest.java
@@ -8,6 +8,7 @@
 /**
  * A request for which {@link ServerChooser} chooses a backend server.
  *
+ * @param softwareVersion version of the servers' software that a stream must go on at; empty if any will do
  * @param tried ids of the servers of earlier attempts
  * @param remainingMillis time until the deadline of the caller or of the route
  */
@@ -15,6 +16,7 @@
         RouteSpec route,
         String service,
         Optional<GenerationRequest> generation,
+        Optional<String> softwareVersion,
         Set<String> tried,
         long remainingMillis,
         int bodyBytes) {}
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/request/ServerChooser.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/request/ServerChooser.java
@@ -69,9 +69,12 @@
     /** Chooses a server and marks the request as started in the server's health record. */
     public ServerChoice choose(ServerChoiceRequest request) {
         refresh();
-        List<ServerEntry> present = fleet.get().servers(request.service());
+        List<ServerEntry> present = presentServers(request);
         if (present.isEmpty()) {
-            return new ServerChoice.Unavailable("no_server", settings.retryAfterMillis());
+            String reason = request.softwareVersion()
+                    .map(version -> "no_server_of_version version=" + version)
+                    .orElse("no_server");
+            return new ServerChoice.Unavailable(reason, settings.retryAfterMillis());
         }
         List<ServerEntry> resident = residentServers(present, request.generation());
         if (resident.isEmpty()) {
@@ -130,6 +133,15 @@
         observations.markNotResident(server, generation.model(), generation.adapter());
     }
 
+    private List<ServerEntry> presentServers(ServerChoiceRequest request) {
+        List<ServerEntry> all = fleet.get().servers(request.service());
+        return request.softwareVersion()
+                .map(version -> all.stream()
+                        .filter(server -> server.softwareVersion().equals(version))
+                        .toList())
+                .orElse(all);
+    }
+
     private List<ServerEntry> residentServers(List<ServerEntry> present, Optional<GenerationRequest> generation) {
         if (generation.isEmpty()) {
             return present;
--- /dev/null
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/request/SoftwareVersions.java
@@ -0,0 +1,55 @@
+package org.agatehatch.internal.request;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.agatehatch.api.time.MonotonicClock;
+import org.agatehatch.internal.process.FleetView;
+
+/** The versions of the servers' software that this process has seen in each service, and when. Thread-safe. */
+public final class SoftwareVersions {
+    private final MonotonicClock clock;
+    private final Map<String, Map<String, Long>> lastSeenMillisByService = new HashMap<>();
+    private FleetView present = FleetView.EMPTY;
+    private long observedSinceMillis = Long.MAX_VALUE;
+
+    public SoftwareVersions(MonotonicClock clock) {
+        this.clock = clock;
+    }
+
+    /** Records the versions of a new view. Those of the last view were present until now. */
+    public synchronized void observe(FleetView view) {
+        if (observedSinceMillis == Long.MAX_VALUE) {
+            observedSinceMillis = clock.millis();
+        }
+        recordPresent();
+        present = view;
+        recordPresent();
+    }
+
+    /**
+     * Returns the version of a service's servers if all that were present in the last span of time had the same one; empty if
+     * they differed, or this process has not observed them for that long.
+     */
+    public synchronized Optional<String> onlyVersion(String service, long spanMillis) {
+        recordPresent();
+        long sinceMillis = clock.millis() - spanMillis;
+        if (observedSinceMillis > sinceMillis) {
+            return Optional.empty();
+        }
+        List<String> seen = lastSeenMillisByService.getOrDefault(service, Map.of()).entrySet().stream()
+                .filter(version -> version.getValue() >= sinceMillis)
+                .map(Map.Entry::getKey)
+                .toList();
+        return seen.size() == 1 ? Optional.of(seen.get(0)) : Optional.empty();
+    }
+
+    private void recordPresent() {
+        long nowMillis = clock.millis();
+        present.byService()
+                .forEach((service, servers) -> servers.forEach(server -> lastSeenMillisByService
+                        .computeIfAbsent(service, name -> new HashMap<>())
+                        .put(server.softwareVersion(), nowMillis)));
+    }
+}
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/BackendRegistryTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/BackendRegistryTest.java
@@ -42,7 +42,7 @@
         long startedAtMillis = Long.parseLong(fields[1]);
         PeerAddress address = new PeerAddress("10.0.0.1", 80);
         return Optional.of(
-                new ServerEntry(id, "desk", address, "d1", 6, draining, startedAtMillis, List.of(), Set.of()));
+                new ServerEntry(id, "desk", address, "d1", 6, draining, startedAtMillis, "v1", List.of(), Set.of()));
     }
 
     /** Returns the third field of an entry; 0 without one. */
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/CrashingPartDetectorTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/CrashingPartDetectorTest.java
@@ -44,7 +44,7 @@
 
     private static ServerEntry server(int host, int start) {
         PeerAddress address = new PeerAddress("10.0.0." + host, 80);
-        return new ServerEntry("s" + host, "svc", address, "d", 8, false, start, List.of(), Set.of());
+        return new ServerEntry("s" + host, "svc", address, "d", 8, false, start, "v1", List.of(), Set.of());
     }
 
     private void broken(List<String> parts, ServerEntry server) {
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/CrashingPartSimulationTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/CrashingPartSimulationTest.java
@@ -92,7 +92,7 @@
 
         private ServerEntry entry() {
             PeerAddress address = new PeerAddress("10.0.0." + index, 80);
-            return new ServerEntry("s" + index, "svc", address, "d", 8, false, start, List.of(), Set.of());
+            return new ServerEntry("s" + index, "svc", address, "d", 8, false, start, "v1", List.of(), Set.of());
         }
     }
 
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/ResidencyFixture.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/ResidencyFixture.java
@@ -80,7 +80,8 @@
 
         ServerEntry entry() {
             PeerAddress address = new PeerAddress("10.0.0.1", 80);
-            return new ServerEntry(id, SERVICE, address, "d1", 64, false, startedAtMillis, resident(), localCopies);
+            return new ServerEntry(
+                    id, SERVICE, address, "d1", 64, false, startedAtMillis, "v1", resident(), localCopies);
         }
     }
 
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/request/ServerChooserTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/request/ServerChooserTest.java
@@ -56,7 +56,7 @@
     private static ServerEntry runner(String id, String domain, long born) {
         ResidentModel model = new ResidentModel("m", 1, Set.of("a1"));
         return new ServerEntry(
-                id, SERVICE, new PeerAddress("10.0.0.1", 80), domain, 64, false, born, List.of(model), Set.of());
+                id, SERVICE, new PeerAddress("10.0.0.1", 80), domain, 64, false, born, "v1", List.of(model), Set.of());
     }
 
     private static GenerationRequest prompt(String shared, String own, String adapter) {
@@ -80,12 +80,13 @@
     }
 
     private ServerChoice choose(ServerChooser from, GenerationRequest generation, Set<String> tried) {
-        return from.choose(new ServerChoiceRequest(route(800), SERVICE, Optional.of(generation), tried, 6_000, 1_000));
+        return from.choose(new ServerChoiceRequest(
+                route(800), SERVICE, Optional.of(generation), Optional.empty(), tried, 6_000, 1_000));
     }
 
     private ServerChoice chooseWithRemaining(long remainingMillis, GenerationRequest generation) {
         return chooser.choose(new ServerChoiceRequest(
-                route(800), SERVICE, Optional.of(generation), Set.of(), remainingMillis, 1_000));
+                route(800), SERVICE, Optional.of(generation), Optional.empty(), Set.of(), remainingMillis, 1_000));
     }
 
     private ServerChoice.Chosen chosen(GenerationRequest generation) {
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/request/ServerLimitsTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/request/ServerLimitsTest.java
@@ -33,7 +33,7 @@
 
     private static ServerEntry server(long startedMillis) {
         PeerAddress address = new PeerAddress("10.0.0.1", 80);
-        return new ServerEntry("s1", "svc", address, "d", 8, false, startedMillis, List.of(), Set.of());
+        return new ServerEntry("s1", "svc", address, "d", 8, false, startedMillis, "v1", List.of(), Set.of());
     }
 
     private OptionalDouble known() {
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/HeaderCodec.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/HeaderCodec.java
@@ -16,8 +16,20 @@
      * @param attemptId id that the caller gave this attempt; empty if absent
      * @param timeoutMillis time the caller waits for the response, if stated
      * @param generation present if the request is for a model
+     * @param takeUp present if the caller goes on with a stream that broke off
      */
-    record RequestMetadata(String attemptId, OptionalLong timeoutMillis, Optional<GenerationRequest> generation) {}
+    record RequestMetadata(
+            String attemptId,
+            OptionalLong timeoutMillis,
+            Optional<GenerationRequest> generation,
+            Optional<TakeUp> takeUp) {}
+
+    /**
+     * The stream that a caller goes on with.
+     *
+     * @param originAttemptId attempt of the caller that received the first event; empty if the caller does not name it
+     */
+    record TakeUp(String originAttemptId) {}
 
     /**
      * Fields of the headers that are sent to a backend server with an attempt.
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/metrics/GatewayMetrics.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/metrics/GatewayMetrics.java
@@ -27,6 +27,7 @@
     private final Counter strikes;
     private final Gauge quarantinedParts;
     private final Counter refusedForPart;
+    private final Counter takenUpStreams;
     private final Gauge limitedServers;
     private final Gauge storeEra;
     private final Counter sentToLimitedServers;
@@ -68,6 +69,10 @@
                 "agatehatch_crashing_part_refusals",
                 "Requests that were not sent because of a quarantined prompt part");
         storeEra = gauge("agatehatch_store_era", "Newest era of the store seen; rises when it comes back from a copy");
+        takenUpStreams = counter(
+                "agatehatch_stream_take_ups",
+                "Streams that callers go on with, by how their software version is known: recorded, only_version or unknown",
+                "source");
         limitedServers =
                 gauge("agatehatch_limited_servers", "Server processes that name a limit of requests per second");
         sentToLimitedServers =
@@ -155,6 +160,11 @@
         refusedForPart.inc();
     }
 
+    /** Counts a stream that a caller goes on with. */
+    public void streamTakenUp(String source) {
+        takenUpStreams.labelValues(source).inc();
+    }
+
     /** Sets the newest era of the store that this node has seen. */
     public void storeEra(long era) {
         storeEra.set(era);
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
@@ -60,6 +60,8 @@
 import org.agatehatch.internal.request.ResidencyObservations;
 import org.agatehatch.internal.request.ServerChooser;
 import org.agatehatch.internal.request.ServerLimits;
+import org.agatehatch.internal.request.SoftwareVersions;
+import org.agatehatch.internal.request.StreamOrigins;
 import org.agatehatch.internal.request.WindowedRetryBudget;
 import org.agatehatch.internal.version.ActiveConfig;
 import org.slf4j.Logger;
@@ -119,6 +121,7 @@
     private final ServerProbe serverProbe;
     private final CrashAttribution crashes;
     private final ServerLimits serverLimits = new ServerLimits(clock, this::onLimit);
+    private final SoftwareVersions softwareVersions = new SoftwareVersions(clock);
     private final RequestPacer pacer = new RequestPacer(clock);
     private final LimitCoordinator limitCoordinator;
     private final CrashEvidenceExchange crashEvidence;
@@ -360,6 +363,8 @@
                 serverProbe,
                 serverLimits,
                 limitCoordinator,
+                new StreamOrigins(platform.streamOriginLog(), loop),
+                softwareVersions,
                 shutdown::refusingRequests,
                 metrics,
                 ExchangeTimeouts.DEFAULT);
@@ -368,6 +373,7 @@
     private void onFleet(FleetView view) {
         Set<String> before = processes(fleet);
         fleet = view;
+        softwareVersions.observe(view);
         before.removeAll(processes(view));
         // Draining servers leave the view too. Recording their end is harmless, as their connections do not break.
         loop.execute(() -> {
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/PlatformBindings.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/PlatformBindings.java
@@ -6,6 +6,7 @@
 import org.agatehatch.api.fleet.FleetConfig;
 import org.agatehatch.api.fleet.KeyedTopic;
 import org.agatehatch.api.fleet.NodeGroup;
+import org.agatehatch.api.fleet.RecordLog;
 import org.agatehatch.api.fleet.ResidencyOrders;
 import org.agatehatch.api.fleet.ServerEntry;
 import org.agatehatch.gateway.HeaderCodec;
@@ -20,6 +21,7 @@
  * @param renewalCount returns how many entries the process that wrote an entry had written before
  * @param nodeGroup group of the nodes of this system
  * @param placementClaimTopic topic that records which node may send orders to runners
+ * @param streamOriginLog log that records where resumable streams began
  * @param residencyOrders sends orders to runners
  * @param headerCodec reads and writes the platform's HTTP headers
  */
@@ -31,5 +33,6 @@
         ToLongFunction<byte[]> renewalCount,
         NodeGroup nodeGroup,
         KeyedTopic placementClaimTopic,
+        RecordLog streamOriginLog,
         ResidencyOrders residencyOrders,
         HeaderCodec headerCodec) {}
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
@@ -236,7 +236,7 @@
             return;
         }
         if (exchange.relay().onContent(content)) {
-            exchange.onResponseStarted();
+            exchange.onResponseStarted(this);
             exchange.onDelivery(this);
         }
     }
@@ -246,7 +246,7 @@
         Optional<HeldResponse> response = held;
         held = Optional.empty();
         if (response.isPresent() && response.get().replay(exchange.relay())) {
-            exchange.onResponseStarted();
+            exchange.onResponseStarted(this);
             exchange.relay().flush();
         }
     }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Exchange.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Exchange.java
@@ -19,7 +19,6 @@
 import org.agatehatch.api.fleet.FleetConfig;
 import org.agatehatch.api.fleet.RouteSpec;
 import org.agatehatch.api.fleet.ServerEntry;
-import org.agatehatch.api.fleet.WeightedService;
 import org.agatehatch.gateway.HeaderCodec;
 import org.agatehatch.gateway.connection.BackendConnectionPool;
 import org.agatehatch.gateway.connection.CallerRequest;
@@ -31,6 +30,7 @@
 import org.agatehatch.internal.request.RequestHash;
 import org.agatehatch.internal.request.ServerChoice;
 import org.agatehatch.internal.request.ServerChoiceRequest;
+import org.agatehatch.internal.request.StreamOrigins;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -47,18 +47,12 @@
     /** Maximum number of times that a request asks for a model or adapter to be loaded before it is refused. */
     private static final int MAX_RESIDENCY_WAITS = 3;
 
-    private static final int URGENCIES_PER_PRIORITY = 2;
-    private static final int LOWEST_URGENCY = 9;
-
     /** Maximum random addition to a Retry-After value, as a fraction of it. */
     private static final double RETRY_AFTER_JITTER = 0.8;
 
     /** Callers honour a Retry-After value only up to a third of their remaining time. */
     private static final int RETRY_AFTER_DIVISOR = 3;
 
-    /** Latency target above which a request ranks below other requests of its priority. */
-    private static final long URGENT_TARGET_MILLIS = 1_000;
-
     private final ExchangeContext context;
     private final CallerRequest request;
     private final ResponseSink sink;
@@ -68,6 +62,7 @@
     private RouteSpec route;
     private FleetConfig config;
     private String service = "";
+    private Optional<String> softwareVersion = Optional.empty();
     private final ServerSelection selection;
     private ForwardingStateMachine machine;
     private ResponseRelay relay;
@@ -122,7 +117,7 @@
     }
 
     private void startForwarding() {
-        service = pickService();
+        service = TrafficSplit.pick(route.services(), context.random());
         machine = new ForwardingStateMachine(route, () -> context.retryBudget().tryTake(service));
         relay = new ResponseRelay(sink, route.streaming() && route.resumable());
         fingerprint =
@@ -139,9 +134,28 @@
             refuse("deadline_passed", 0);
             return;
         }
-        context.retryBudget().countRequest(service);
         deadlineTimer =
                 Optional.of(context.loop().schedule(this::onDeadline, remainingMillis(), TimeUnit.MILLISECONDS));
+        if (route.streaming() && route.resumable() && metadata.takeUp().isPresent()) {
+            new StreamTakeUp(context, route, service).resolve(metadata, this::onOrigin);
+            return;
+        }
+        context.retryBudget().countRequest(service);
+        startAttempt();
+    }
+
+    private void onOrigin(Optional<StreamOrigins.Origin> origin) {
+        if (finished) {
+            return;
+        }
+        if (origin.isEmpty()) {
+            lastRetryAfterMillis = context.timeouts().modelLoadRetryAfterMillis();
+            perform(machine.onNoServer(), "stream_origin_unknown");
+            return;
+        }
+        service = origin.get().service();
+        softwareVersion = Optional.of(origin.get().softwareVersion());
+        context.retryBudget().countRequest(service);
         startAttempt();
     }
 
@@ -209,6 +223,7 @@
                         route,
                         service,
                         metadata.generation(),
+                        softwareVersion,
                         unavailableServerIds,
                         remainingMillis(),
                         request.body().length));
@@ -511,7 +526,8 @@
         context.headerCodec()
                 .writeAttempt(
                         headers,
-                        new HeaderCodec.AttemptMetadata(remaining, server.id(), urgency(), relay.lastEventId()));
+                        new HeaderCodec.AttemptMetadata(
+                                remaining, server.id(), Urgency.of(route), relay.lastEventId()));
         copy.headers().set(headers);
         return copy;
     }
@@ -527,8 +543,13 @@
         attempt.setReading(sink.isWritable());
     }
 
-    void onResponseStarted() {
+    void onResponseStarted(Attempt attempt) {
         machine.onResponseStarted();
+        if (!route.resumable() || softwareVersion.isPresent()) {
+            return;
+        }
+        softwareVersion = Optional.of(attempt.server().softwareVersion());
+        context.streamOrigins().begun(metadata.attemptId(), new StreamOrigins.Origin(service, softwareVersion.get()));
     }
 
     ExchangeContext context() {
@@ -569,22 +590,4 @@
     private long remainingMillis() {
         return deadlineMillis - nowMillis();
     }
-
-    private int urgency() {
-        int base = route.priority() * URGENCIES_PER_PRIORITY;
-        return Math.min(LOWEST_URGENCY, base + (route.targetMillis() > URGENT_TARGET_MILLIS ? 1 : 0));
-    }
-
-    private String pickService() {
-        List<WeightedService> services = route.services();
-        double total = services.stream().mapToDouble(WeightedService::weight).sum();
-        double point = context.random().nextDouble() * total;
-        for (WeightedService candidate : services) {
-            point -= candidate.weight();
-            if (point < 0) {
-                return candidate.service();
-            }
-        }
-        return services.get(services.size() - 1).service();
-    }
 }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ExchangeContext.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ExchangeContext.java
@@ -10,6 +10,8 @@
 import org.agatehatch.internal.process.DemandMeter;
 import org.agatehatch.internal.request.ServerChooser;
 import org.agatehatch.internal.request.ServerLimits;
+import org.agatehatch.internal.request.SoftwareVersions;
+import org.agatehatch.internal.request.StreamOrigins;
 import org.agatehatch.internal.request.WindowedRetryBudget;
 import org.agatehatch.internal.version.ActiveConfig;
 
@@ -33,6 +35,8 @@
         ServerProbe serverProbe,
         ServerLimits serverLimits,
         PermitRequester permitRequester,
+        StreamOrigins streamOrigins,
+        SoftwareVersions softwareVersions,
         BooleanSupplier refusingRequests,
         GatewayMetrics metrics,
         ExchangeTimeouts timeouts) {}
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/Cluster.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/Cluster.java
@@ -52,6 +52,7 @@
     private final InMemoryTopic configTopic = new InMemoryTopic();
     private final InMemoryTopic serverTopic = new InMemoryTopic();
     private final InMemoryTopic claimTopic = new InMemoryTopic();
+    private final InMemoryLog streamOriginLog = new InMemoryLog();
     private final InMemoryNodeGroup group = new InMemoryNodeGroup(MEMBERSHIP_TTL_MILLIS);
     private final int callerPort = freePort();
     private final int peerPort = freePort();
@@ -153,6 +154,7 @@
                 record -> 0,
                 group,
                 claimTopic,
+                streamOriginLog,
                 new NoOrders(),
                 new TestHeaderCodec());
     }
@@ -190,6 +192,7 @@
                 64,
                 false,
                 Long.parseLong(fields[2]),
+                "v1",
                 List.of(new ResidentModel(MODEL, 1, Set.of())),
                 Set.of(MODEL)));
     }
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestGateway.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestGateway.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -37,6 +38,8 @@
 import org.agatehatch.internal.request.ResidencyObservations;
 import org.agatehatch.internal.request.ServerChooser;
 import org.agatehatch.internal.request.ServerLimits;
+import org.agatehatch.internal.request.SoftwareVersions;
+import org.agatehatch.internal.request.StreamOrigins;
 import org.agatehatch.internal.request.WindowedRetryBudget;
 import org.agatehatch.internal.version.ActiveConfig;
 
@@ -71,14 +74,28 @@
         this(100, serverPorts);
     }
 
+    /** Creates a gateway to servers of the given software versions, in the order of the servers. */
+    TestGateway(InMemoryLog streamOriginLog, List<String> versions, ScriptedServer... servers) {
+        this(100, Arrays.stream(servers).map(ScriptedServer::port).toList(), versions, streamOriginLog);
+    }
+
     private TestGateway(double retrySlack, List<Integer> serverPorts) {
+        this(retrySlack, serverPorts, Collections.nCopies(serverPorts.size(), "v1"), new InMemoryLog());
+    }
+
+    private TestGateway(
+            double retrySlack, List<Integer> serverPorts, List<String> versions, InMemoryLog streamOriginLog) {
         MonotonicClock clock = MonotonicClock.system();
         List<ServerEntry> entries = new ArrayList<>();
         for (int serverPort : serverPorts) {
             PeerAddress address = new PeerAddress("127.0.0.1", serverPort);
-            entries.add(new ServerEntry("s" + entries.size(), "svc", address, "d", 8, false, 1, List.of(), Set.of()));
+            String version = versions.get(entries.size());
+            entries.add(new ServerEntry(
+                    "s" + entries.size(), "svc", address, "d", 8, false, 1, version, List.of(), Set.of()));
         }
         FleetView fleet = new FleetView(Map.of("svc", entries));
+        SoftwareVersions softwareVersions = new SoftwareVersions(clock);
+        softwareVersions.observe(fleet);
         ResidencyObservations sightings = new ResidencyObservations(clock);
         chooser =
                 new ServerChooser(ChooserSettings.DEFAULT, "d", () -> fleet, sightings, clock, new Random(1), () -> 1);
@@ -103,6 +120,8 @@
                 new ServerLimits(clock, (process, perSecond, own) -> {}),
                 (process, limitPerSecond, maxDelayMillis) ->
                         CompletableFuture.completedFuture(new RequestPacer.Permit(true, 0)),
+                new StreamOrigins(streamOriginLog, loop),
+                softwareVersions,
                 () -> refusing,
                 metrics,
                 ExchangeTimeouts.DEFAULT);
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestHeaderCodec.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestHeaderCodec.java
@@ -19,7 +19,10 @@
         return new RequestMetadata(
                 head.headers().get("x-id", ""),
                 deadline.isEmpty() ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(deadline)),
-                generation(head.headers()));
+                generation(head.headers()),
+                head.headers().contains("last-event-id")
+                        ? Optional.of(new TakeUp(head.headers().get("x-resumes", "")))
+                        : Optional.empty());
     }
 
     private static Optional<GenerationRequest> generation(HttpHeaders headers) {
