Keep the members known before through two restores in a row

The end of the first grace period also ended that of a second restore within it. NodeMembershipTest has the case. Also rewraps a comment of the lease.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/NodeMembership.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/NodeMembership.java
@@ -42,7 +42,7 @@
     private NodeView viewBeforeRestore = NodeView.EMPTY;
     private final Set<String> leftBeforeRestore = new HashSet<>();
     private final Map<String, Long> leftMillisByMember = new LinkedHashMap<>();
-    private boolean restoring;
+    private int restoresInGrace;
     private long ownersGeneration = -1;
     private boolean ownersReadInFlight;
     private long renewalSentNanos;
@@ -90,7 +90,7 @@
             return;
         }
         long sentNanos = clock.nanos();
-        group.renew(self.memberName(), restoring ? 0 : standing.generation())
+        group.renew(self.memberName(), restoresInGrace > 0 ? 0 : standing.generation())
                 .whenComplete((renewed, failure) -> control.execute(() -> onRenewed(sentNanos, renewed, failure)));
     }
 
@@ -131,12 +131,15 @@
                 standing.generation(),
                 view.nodes().size());
         ownersGeneration = -1;
-        restoring = true;
+        restoresInGrace++;
         viewBeforeRestore = view;
         forgetOldLeaves();
         leftBeforeRestore.addAll(leftMillisByMember.keySet());
         control.schedule(settings.timeToLiveMillis(), () -> {
-            restoring = false;
+            restoresInGrace--;
+            if (restoresInGrace > 0) {
+                return;
+            }
             viewBeforeRestore = NodeView.EMPTY;
             leftBeforeRestore.clear();
             // The next renewal reads the owners again.
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/PlacementLease.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/PlacementLease.java
@@ -193,9 +193,9 @@
     }
 
     private void check() {
-        // A node that is not the holder reads only after a membership change, while the known holder is not in the
-        // group, or
-        // while no lease of the present era is known.
+        // Other nodes read only after a membership change, while the known holder is not in the group, or while no
+        // lease of
+        // the present era is known.
         if (isHolder() || holderLeft() || membershipChangedSinceRead || outdated) {
             read();
         }
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/NodeMembershipTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/NodeMembershipTest.java
@@ -224,4 +224,20 @@
             assertEquals(names(), List.of("a"));
         }
     }
+
+    @Test
+    public void members_stay_listed_through_two_restores_in_a_row() {
+        join("a", "1");
+        time.advance(1_500);
+        Copy copy = copy();
+        join("b", "1");
+        time.advance(1_500);
+        restore(copy);
+        time.advance(TIME_TO_LIVE_MILLIS - 100);
+        restore(copy);
+        for (int i = 0; i < 60; i++) {
+            time.advance(100);
+            assertEquals(names(), List.of("a", "b"));
+        }
+    }
 }
