Remove servers that were learned from a peer if the store lacks them

A node that starts while the store is silent takes the servers from a peer. A follower reported only keys that it had read itself as removed, so that a server that left meanwhile stayed for good. TopicFollowerTest has the case; without the known keys it fails.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/TopicFollower.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/TopicFollower.java
@@ -84,6 +84,11 @@
         snapshot();
     }
 
+    /** Makes keys known that the listener has from elsewhere, so that it hears of their removal if the topic lacks them. */
+    public void addKnownKeys(Set<String> keys) {
+        keys.forEach(key -> offsetByKey.putIfAbsent(key, UNREAD));
+    }
+
     /** Stops reading; the result of a read in flight is still applied. */
     public void stop() {
         stopped = true;
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/TopicFollowerTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/TopicFollowerTest.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -182,4 +183,19 @@
         time.advance(500);
         assertTrue(follower.sinceRecoveryMillis() <= 500);
     }
+
+    // Guards against a server that a node learned from a peer while the store was silent, and that never goes away.
+    @Test
+    public void a_key_that_is_known_from_elsewhere_is_removed_if_the_topic_lacks_it() {
+        topic.setDown(true);
+        valueByKey.clear();
+        TopicFollower starting = follower(TopicFollowerSettings.LONG_POLLING);
+        starting.start();
+        valueByKey.put("gone", "from a peer");
+        starting.addKnownKeys(Set.of("gone"));
+        time.advance(1_000);
+        topic.setDown(false);
+        time.advance(MAX_PROPAGATION_MILLIS);
+        assertEquals(valueByKey, Map.of("config", "1"));
+    }
 }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
@@ -465,6 +465,7 @@
         state.config().ifPresent(record -> onConfig(CONFIG_KEY, record));
         if (!registry.caughtUp() && !state.servers().isEmpty()) {
             state.servers().forEach(registry::onValue);
+            serverFollower.addKnownKeys(state.servers().keySet());
             registry.onCaughtUp();
         }
     }
