--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/StreamTakeUp.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/StreamTakeUp.java
@@ -13,6 +13,9 @@
  * together, and servers don't check it, so that a stream whose version is not known goes nowhere.
  */
 final class StreamTakeUp {
+    /** Time after a server has left this node's view in which another node may still begin a stream there. */
+    private static final long VIEW_LAG_MILLIS = 3_000;
+
     private static final Logger log = LoggerFactory.getLogger(StreamTakeUp.class);
 
     private final ExchangeContext context;
@@ -63,7 +66,7 @@
             return Optional.empty();
         }
         return context.softwareVersions()
-                .onlyVersion(service, route.timeoutMillis())
+                .onlyVersion(service, route.timeoutMillis() + VIEW_LAG_MILLIS)
                 .map(version -> new StreamOrigins.Origin(service, version));
     }
 }
