--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/metrics/GatewayMetrics.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/metrics/GatewayMetrics.java
@@ -23,7 +23,7 @@
     private final Counter cutAnswers;
     private final Counter brokenAttempts;
     private final Counter closeEndedAnswers;
-    private final Counter answersOutlivingServer;
+    private final Counter answersInDoubt;
     private final Counter strikes;
     private final Gauge quarantinedParts;
     private final Counter refusedForPart;
@@ -55,7 +55,7 @@
                 "Answers without length or chunks that an orderly close ended, by where: no_event, within_event, after_event"
                         + " or body",
                 "position");
-        answersOutlivingServer = counter(
+        answersInDoubt = counter(
                 "agatehatch_close_ended_answers_in_doubt",
                 "Answers that an orderly close ended and whose server did not accept a connection afterwards");
         strikes = counter(
@@ -141,8 +141,8 @@
     }
 
     /** Counts an answer that an orderly close ended and whose server did not accept a connection afterwards. */
-    public void answerOutlivedServer() {
-        answersOutlivingServer.inc();
+    public void answerInDoubt() {
+        answersInDoubt.inc();
     }
 
     /** Counts a crash that was attributed to a request. */
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
@@ -296,7 +296,7 @@
             complete(" ended_by=close " + position.label());
             return;
         }
-        exchange.context().metrics().answerOutlivedServer();
+        exchange.context().metrics().answerInDoubt();
         end(
                 AttemptEnd.BROKEN,
                 "connection closed " + position.label() + ", server "
