Close the listener of scripted servers before their connections

Cause: the stand-in. In Java, closing a ServerSocket while a thread waits in accept leaves the listening socket alive until that thread wakes, and the connections closed before it did. A process that dies closes its listener, opened first, before its connections.

No check is changed. The servers of the daemon's tests had the same order.

--- a/agatehatch-daemon/src/test/java/org/agatehatch/daemon/endless/EndlessServer.java
+++ b/agatehatch-daemon/src/test/java/org/agatehatch/daemon/endless/EndlessServer.java
@@ -25,6 +25,7 @@
 
     private final ServerSocket listener;
     private final Handler handler;
+    private final Thread acceptor;
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private final BlockingQueue<Closed> closed = new LinkedBlockingQueue<>();
     private final AtomicInteger unclosed = new AtomicInteger();
@@ -36,7 +37,7 @@
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
-        startDaemon(this::acceptConnections);
+        acceptor = startDaemon(this::acceptConnections);
     }
 
     /** Returns a server that gives each request the same response. */
@@ -70,9 +71,18 @@
         }
     }
 
+    /**
+     * Closes the listener, and then all connections. A thread that waits in an accept keeps the listening socket alive until it
+     * wakes, so that connections would still be accepted after the others have closed.
+     */
     @Override
     public void close() {
         closeQuietly(listener);
+        try {
+            acceptor.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
         sockets.forEach(EndlessServer::closeQuietly);
     }
 
@@ -166,10 +176,11 @@
                 .orElse(0);
     }
 
-    private static void startDaemon(Runnable body) {
+    private static Thread startDaemon(Runnable body) {
         Thread thread = new Thread(body, "endless-server");
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 
     private static void closeQuietly(java.io.Closeable closeable) {
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/ScriptedServer.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/ScriptedServer.java
@@ -67,11 +67,12 @@
     private final ServerSocket listening;
     private final List<Socket> open = new CopyOnWriteArrayList<>();
     private final Script script;
+    private final Thread acceptor;
 
     ScriptedServer(Script script) throws IOException {
         this.script = script;
         listening = new ServerSocket(0, 16, InetAddress.getByName("127.0.0.1"));
-        start(this::accept);
+        acceptor = start(this::accept);
     }
 
     int port() {
@@ -148,7 +149,7 @@
         return "";
     }
 
-    private static void start(IoTask task) {
+    private static Thread start(IoTask task) {
         Thread thread = new Thread(() -> {
             try {
                 task.run();
@@ -158,11 +159,21 @@
         });
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 
+    /**
+     * Closes the listener, and then all connections. A thread that waits in an accept keeps the listening socket alive until it
+     * wakes, so that connections would still be accepted after the others have closed.
+     */
     @Override
     public void close() throws IOException {
         listening.close();
+        try {
+            acceptor.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
         for (Socket socket : open) {
             socket.close();
         }
