Send nothing to servers that say they are leaving or too busy

Cause: Server-Leaving was read nowhere, so a node went on sending to a server until the store named it as draining; Retry-After of a server's 503 was not read either, so the next request went back to it at once.

Change: ServerAvailability keeps both for the process that said so, at its address. The chooser leaves such servers out, and an attempt checks again once it has a connection (WITHDRAWN: nothing was sent). A notice counts in any answer of the server, also in the held answer of a second attempt and in a late answer to another attempt, but not in a 421, which comes from another server. If all servers of a request are closed, it waits for the first one when that opens within a second and a third of its time and few others wait, and is refused with the true time otherwise. The waits of a request moved from Exchange to ServerWait.

Other nodes are not told: a leaving server serves on for longer than it takes a node to learn of it from its own first answer, and a closure is addressed to one node.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/request/AttemptEnd.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/request/AttemptEnd.java
@@ -4,6 +4,8 @@
 public enum AttemptEnd {
     /** No connection could be opened, so nothing was sent. */
     NOT_CONNECTED(false),
+    /** The server said in the meantime that it takes no requests from this node, so nothing was sent. */
+    WITHDRAWN(false),
     /** The server explicitly rejected the request without running it. */
     REFUSED(false),
     /** The address now belongs to another server, or the server does not hold the model. The request did not run. */
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/request/ForwardingStateMachine.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/request/ForwardingStateMachine.java
@@ -14,7 +14,7 @@
     /** Limit of sends of one request, including refused ones, since the service's retry budget counts every send. */
     static final int MAX_SEND_ATTEMPTS = 3;
 
-    /** Limit of failed connection attempts for one request. */
+    /** Limit of attempts at one request that end before it is sent. */
     static final int MAX_FAILED_CONNECTS = 4;
 
     /** The step that the request handler performs next. */
@@ -75,7 +75,7 @@
         onAttemptEndBesideAnother(end);
         return switch (end) {
             case ANSWERED -> NextStep.DELIVER;
-            case NOT_CONNECTED -> failedConnects < MAX_FAILED_CONNECTS ? NextStep.RETRY : giveUp();
+            case NOT_CONNECTED, WITHDRAWN -> failedConnects < MAX_FAILED_CONNECTS ? NextStep.RETRY : giveUp();
             case REFUSED, MISDIRECTED -> mayResend() ? NextStep.RETRY : giveUp();
             case BROKEN, SILENT -> mayRunAgain() ? NextStep.RETRY : giveUp();
             case SERVER_ERROR -> !responseStarted && mayRunAgain() ? NextStep.RETRY : NextStep.DELIVER;
@@ -87,7 +87,7 @@
         if (end.mayHaveRun()) {
             possibleRuns++;
         }
-        if (end == AttemptEnd.NOT_CONNECTED) {
+        if (end == AttemptEnd.NOT_CONNECTED || end == AttemptEnd.WITHDRAWN) {
             failedConnects++;
         }
     }
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/request/ServerChoice.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/request/ServerChoice.java
@@ -19,6 +19,14 @@
     /** No server holds the adapter, or the model if {@code adapter} is empty. */
     record NotResident(String model, String adapter) implements ServerChoice {}
 
+    /**
+     * The servers that could take the request have asked this node to send nothing for a time.
+     *
+     * @param opensInMillis time until the first of them takes requests again
+     * @param places number of requests that they can be expected to take from this node then
+     */
+    record Closed(long opensInMillis, int places) implements ServerChoice {}
+
     /**
      * No server can take the request now.
      *
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/request/ServerChooser.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/request/ServerChooser.java
@@ -36,6 +36,7 @@
     private final RandomGenerator random;
     private final IntSupplier nodes;
     private final ResidencyObservations observations;
+    private final ServerAvailability availability;
     private final PromptCacheEstimator cache = new PromptCacheEstimator();
     private final Map<String, ServerLoad> loads = new HashMap<>();
     private final Map<String, Long> bornMillisByServer = new HashMap<>();
@@ -54,6 +55,7 @@
             String ownDomain,
             Supplier<FleetView> fleet,
             ResidencyObservations observations,
+            ServerAvailability availability,
             MonotonicClock clock,
             RandomGenerator random,
             IntSupplier nodes) {
@@ -62,6 +64,7 @@
         this.ownDomain = ownDomain;
         this.fleet = fleet;
         this.observations = observations;
+        this.availability = availability;
         this.clock = clock;
         this.random = random;
     }
@@ -83,8 +86,14 @@
                     present.stream().anyMatch(server -> observations.isResident(server, generation.model(), ""));
             return new ServerChoice.NotResident(generation.model(), modelResident ? generation.adapter() : "");
         }
+        List<ServerEntry> open = resident.stream()
+                .filter(server -> availability.opensInMillis(server) == 0)
+                .toList();
         BackendServerHealth health = health(request.service());
-        List<ServerEntry> candidates = candidates(resident, request, health);
+        List<ServerEntry> candidates = candidates(open, request, health);
+        if (candidates.isEmpty() && open.size() < resident.size()) {
+            return closed(resident);
+        }
         if (candidates.isEmpty()) {
             return new ServerChoice.Unavailable("all_candidates_tried_or_out", settings.retryAfterMillis());
         }
@@ -133,8 +142,20 @@
         observations.markNotResident(server, generation.model(), generation.adapter());
     }
 
+    private ServerChoice.Closed closed(List<ServerEntry> resident) {
+        List<ServerEntry> closed = resident.stream()
+                .filter(server -> availability.opensInMillis(server) > 0)
+                .toList();
+        long opensInMillis =
+                closed.stream().mapToLong(availability::opensInMillis).min().orElse(0);
+        int slots = closed.stream().mapToInt(ServerEntry::slots).sum();
+        return new ServerChoice.Closed(opensInMillis, Math.max(1, slots / Math.max(1, nodes.getAsInt())));
+    }
+
     private List<ServerEntry> presentServers(ServerChoiceRequest request) {
-        List<ServerEntry> all = fleet.get().servers(request.service());
+        List<ServerEntry> all = fleet.get().servers(request.service()).stream()
+                .filter(server -> !availability.isLeaving(server))
+                .toList();
         return request.softwareVersion()
                 .map(version -> all.stream()
                         .filter(server -> server.softwareVersion().equals(version))
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/request/ServerChooserTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/request/ServerChooserTest.java
@@ -31,6 +31,7 @@
     private long nowMillis;
     private FleetView fleet;
     private ResidencyObservations observations;
+    private ServerAvailability availability;
     private ServerChooser chooser;
 
     @BeforeMethod
@@ -39,6 +40,7 @@
         fleet = new FleetView(
                 Map.of(SERVICE, List.of(runner("r1", "d1", 1), runner("r2", "d2", 1), runner("r3", "d1", 1))));
         observations = new ResidencyObservations(() -> nowMillis * 1_000_000);
+        availability = new ServerAvailability(() -> nowMillis * 1_000_000, new AvailabilityEvents());
         chooser = chooser("d1", 1);
     }
 
@@ -48,6 +50,7 @@
                 domain,
                 () -> fleet,
                 observations,
+                availability,
                 () -> nowMillis * 1_000_000,
                 new Random(seed),
                 () -> 3);
@@ -232,4 +235,22 @@
                 "r2");
         assertTrue(choose(chooser, prompt("m", "s", ""), Set.of("r1", "r2", "r3")) instanceof ServerChoice.Unavailable);
     }
+
+    // Guards against requests to servers that have said that they leave or want none, and against refusals without a
+    // true time.
+    @Test
+    public void servers_that_leave_or_are_closed_are_not_chosen() {
+        availability.recordLeaving(runner("r1", "d1", 1));
+        availability.recordClosed(runner("r2", "d2", 1), 2_000);
+        for (int i = 0; i < 20; i++) {
+            assertEquals(chosen(prompt("manual", "s" + i, "")).server().id(), "r3");
+        }
+        availability.recordClosed(runner("r3", "d1", 1), 700);
+        ServerChoice.Closed closed = (ServerChoice.Closed) choose(chooser, prompt("manual", "s", ""), Set.of());
+        assertEquals(closed.opensInMillis(), 700);
+        // Two closed servers of 64 slots, shared by three nodes.
+        assertEquals(closed.places(), 42);
+        nowMillis += 700;
+        assertEquals(chosen(prompt("manual", "s", "")).server().id(), "r3");
+    }
 }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/HeaderCodec.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/HeaderCodec.java
@@ -50,13 +50,17 @@
      * @param misdirected whether another server runs at the address, or the server does not hold the model
      * @param limitPerSecond requests per second that the server takes from all nodes together, 0 or more; empty if it states
      *     no limit
+     * @param leaving whether the server says that it is leaving
+     * @param closedForMillis time for which a server that is too busy wants no requests from this node; empty if it states none
      */
     record ResponseMetadata(
             String attemptId,
             boolean sealed,
             boolean declaredNotRun,
             boolean misdirected,
-            OptionalDouble limitPerSecond) {}
+            OptionalDouble limitPerSecond,
+            boolean leaving,
+            OptionalLong closedForMillis) {}
 
     /**
      * Reads a caller's request headers.
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/metrics/GatewayMetrics.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/metrics/GatewayMetrics.java
@@ -29,6 +29,11 @@
     private final Counter refusedForPart;
     private final Counter takenUpStreams;
     private final Gauge limitedServers;
+    private final Counter leavingServers =
+            counter("agatehatch_leaving_servers", "Server processes that have said in an answer that they are leaving");
+    private final Counter serverClosures = counter(
+            "agatehatch_server_closures",
+            "Answers by which a server asked this node to send nothing for a time, beyond what it had asked before");
     private final Gauge storeEra;
     private final Counter sentToLimitedServers;
     private final Histogram firstByteSeconds;
@@ -180,6 +185,16 @@
         sentToLimitedServers.inc();
     }
 
+    /** Counts a server process that has said that it is leaving. */
+    public void serverLeaving() {
+        leavingServers.inc();
+    }
+
+    /** Counts an answer by which a server asked this node to send nothing for a time. */
+    public void serverClosed() {
+        serverClosures.inc();
+    }
+
     public void connectionsOpened(int count) {
         connections.inc(count);
     }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
@@ -18,6 +18,7 @@
 import java.util.function.Function;
 import org.agatehatch.api.fleet.KeyedTopic;
 import org.agatehatch.api.fleet.PeerAddress;
+import org.agatehatch.api.fleet.ServerEntry;
 import org.agatehatch.api.peer.PeerMessage;
 import org.agatehatch.api.time.MonotonicClock;
 import org.agatehatch.gateway.connection.BackendConnectionPool;
@@ -58,6 +59,7 @@
 import org.agatehatch.internal.request.ChooserSettings;
 import org.agatehatch.internal.request.RequestPacer;
 import org.agatehatch.internal.request.ResidencyObservations;
+import org.agatehatch.internal.request.ServerAvailability;
 import org.agatehatch.internal.request.ServerChooser;
 import org.agatehatch.internal.request.ServerLimits;
 import org.agatehatch.internal.request.SoftwareVersions;
@@ -121,6 +123,7 @@
     private final ServerProbe serverProbe;
     private final CrashAttribution crashes;
     private final ServerLimits serverLimits = new ServerLimits(clock, this::onLimit);
+    private final ServerAvailability availability = new ServerAvailability(clock, new AvailabilityLog());
     private final SoftwareVersions softwareVersions = new SoftwareVersions(clock);
     private final RequestPacer pacer = new RequestPacer(clock);
     private final LimitCoordinator limitCoordinator;
@@ -230,6 +233,7 @@
                 settings.self().failureDomain(),
                 () -> fleet,
                 sightings,
+                availability,
                 clock,
                 random,
                 this::nodeCount);
@@ -362,6 +366,7 @@
                 crashes,
                 serverProbe,
                 serverLimits,
+                availability,
                 limitCoordinator,
                 new StreamOrigins(platform.streamOriginLog(), loop),
                 softwareVersions,
@@ -501,6 +506,20 @@
         }
     }
 
+    private final class AvailabilityLog implements ServerAvailability.Listener {
+        @Override
+        public void onLeaving(ServerEntry server) {
+            metrics.serverLeaving();
+            log.info("event=server_leaving process={} address={}", server.processKey(), server.address());
+        }
+
+        @Override
+        public void onClosed(ServerEntry server, long durationMillis) {
+            metrics.serverClosed();
+            log.info("event=server_closed process={} for_ms={}", server.processKey(), durationMillis);
+        }
+    }
+
     private final class QuarantineLog implements CrashingPartDetector.Listener {
         @Override
         public void onQuarantine(String part, Set<String> processes) {
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
@@ -56,6 +56,7 @@
     private boolean stream;
     private boolean survived;
     private boolean connectRefused;
+    private boolean closedServer;
     private boolean reading = true;
     private boolean silenceReported;
     private boolean ended;
@@ -106,6 +107,11 @@
         return connectRefused;
     }
 
+    /** Returns whether the server answered that it wants no requests from this node for a time. */
+    boolean closedServer() {
+        return closedServer;
+    }
+
     /** Returns whether the attempt was silent for longer than its limit, which counted as a failure of the server. */
     boolean wasSilent() {
         return silenceReported;
@@ -163,6 +169,11 @@
             acquired.release();
             return;
         }
+        if (!exchange.context().availability().maySend(server())) {
+            acquired.release();
+            end(AttemptEnd.WITHDRAWN, "server leaving or closed");
+            return;
+        }
         connection = Optional.of(acquired);
         exchange.onSent(this);
         if (exchange.context().serverLimits().perSecond(server().processKey()).isPresent()) {
@@ -181,6 +192,7 @@
     @Override
     public Disposition onHead(HttpResponse head) {
         HeaderCodec.ResponseMetadata terms = exchange.context().headerCodec().readResponse(head);
+        recordAvailability(terms);
         boolean forOtherAttempt = !terms.attemptId().isEmpty()
                 && !terms.attemptId().equals(exchange.metadata().attemptId());
         if (forOtherAttempt) {
@@ -212,6 +224,22 @@
         return Disposition.ACCEPT;
     }
 
+    /** Any answer of the server itself counts, also a late one to another attempt. */
+    private void recordAvailability(HeaderCodec.ResponseMetadata terms) {
+        if (terms.misdirected()) {
+            return;
+        }
+        if (terms.leaving()) {
+            exchange.context().availability().recordLeaving(server());
+        }
+        if (terms.closedForMillis().isPresent()) {
+            closedServer = true;
+            exchange.context()
+                    .availability()
+                    .recordClosed(server(), terms.closedForMillis().getAsLong());
+        }
+    }
+
     /** Only an answer with the server's signature shows by the absence of a limit that the server has none. */
     private void recordLimit(HeaderCodec.ResponseMetadata terms) {
         if (!terms.misdirected() && (terms.sealed() || terms.limitPerSecond().isPresent())) {
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Exchange.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Exchange.java
@@ -44,9 +44,6 @@
 public final class Exchange implements RequestHandler.InFlightRequest {
     private static final Logger log = LoggerFactory.getLogger(Exchange.class);
 
-    /** Maximum number of times that a request asks for a model or adapter to be loaded before it is refused. */
-    private static final int MAX_RESIDENCY_WAITS = 3;
-
     /** Maximum random addition to a Retry-After value, as a fraction of it. */
     private static final double RETRY_AFTER_JITTER = 0.8;
 
@@ -64,6 +61,7 @@
     private String service = "";
     private Optional<String> softwareVersion = Optional.empty();
     private final ServerSelection selection;
+    private final ServerWait serverWait;
     private ForwardingStateMachine machine;
     private ResponseRelay relay;
     private long deadlineMillis;
@@ -73,7 +71,6 @@
     private Optional<Attempt> successor = Optional.empty();
     private Optional<HeldResponse> heldFailure = Optional.empty();
     private Optional<Future<?>> deadlineTimer = Optional.empty();
-    private int residencyWaits;
     private long lastRetryAfterMillis;
     private boolean finished;
 
@@ -82,6 +79,7 @@
         this.request = request;
         this.sink = sink;
         this.arrivedMillis = request.arrivedNanos() / 1_000_000;
+        this.serverWait = new ServerWait(parts, new Waiter(), this::remainingMillis);
         this.selection = new ServerSelection(parts, this::chooseServer, this::remainingMillis);
     }
 
@@ -196,7 +194,9 @@
         if (choice instanceof ServerChoice.Chosen chosen) {
             sendTo(chosen);
         } else if (choice instanceof ServerChoice.NotResident missing) {
-            onNotResident(missing);
+            serverWait.onNotResident(service, missing);
+        } else if (choice instanceof ServerChoice.Closed closed) {
+            serverWait.onClosed(closed);
         } else if (choice instanceof ServerChoice.Unavailable unavailable) {
             lastRetryAfterMillis = unavailable.retryAfterMillis();
             countRefusedDemand();
@@ -229,39 +229,6 @@
                         request.body().length));
     }
 
-    private void onNotResident(ServerChoice.NotResident missing) {
-        if (++residencyWaits > MAX_RESIDENCY_WAITS) {
-            refuseNotResident(missing, context.timeouts().modelLoadRetryAfterMillis());
-            return;
-        }
-        context.residencyRequester()
-                .requestResidency(service, missing.model(), missing.adapter())
-                .whenComplete((readyInMillis, failure) ->
-                        context.loop().execute(() -> onResidencyAnswer(missing, failure == null ? readyInMillis : -1)));
-    }
-
-    /** Waits if a runner will hold the model soon enough; otherwise refuses the request with a Retry-After value. */
-    private void onResidencyAnswer(ServerChoice.NotResident missing, long readyInMillis) {
-        if (finished) {
-            return;
-        }
-        if (readyInMillis < 0) {
-            refuseNotResident(missing, context.timeouts().modelLoadRetryAfterMillis());
-        } else if (readyInMillis == 0) {
-            startAttempt();
-        } else if (readyInMillis > Math.min(context.timeouts().maxResidencyWaitMillis(), remainingMillis() / 3)) {
-            refuseNotResident(missing, readyInMillis);
-        } else {
-            context.loop().schedule(this::startAttempt, readyInMillis, TimeUnit.MILLISECONDS);
-        }
-    }
-
-    private void refuseNotResident(ServerChoice.NotResident missing, long retryAfterMillis) {
-        lastRetryAfterMillis = retryAfterMillis;
-        countRefusedDemand();
-        perform(machine.onNoServer(), "not_resident model=" + missing.model() + " adapter=" + missing.adapter());
-    }
-
     /** Counts a request that could not be sent as demand too, since more runners may have to hold its model. */
     private void countRefusedDemand() {
         if (triedServerIds.isEmpty()) {
@@ -291,6 +258,10 @@
             // The server stays a candidate: it may hold the model once it is loaded.
             triedServerIds.remove(attempt.server().id());
         }
+        if (end == AttemptEnd.WITHDRAWN || attempt.closedServer()) {
+            // The chooser leaves the server out for as long as that holds.
+            triedServerIds.remove(attempt.server().id());
+        }
         if (end == AttemptEnd.REFUSED) {
             lastRetryAfterMillis = context.timeouts().overloadRetryAfterMillis();
         }
@@ -403,7 +374,9 @@
             attempt.connect();
             return chosen.server().id();
         }
-        return choice instanceof ServerChoice.Unavailable unavailable ? unavailable.reason() : "not_resident";
+        return choice instanceof ServerChoice.Unavailable unavailable
+                ? unavailable.reason()
+                : choice instanceof ServerChoice.Closed ? "servers_closed" : "not_resident";
     }
 
     private void onDeadline() {
@@ -590,4 +563,23 @@
     private long remainingMillis() {
         return deadlineMillis - nowMillis();
     }
+
+    private final class Waiter implements ServerWait.Waiter {
+        @Override
+        public boolean isFinished() {
+            return finished;
+        }
+
+        @Override
+        public void chooseAgain() {
+            startAttempt();
+        }
+
+        @Override
+        public void refuseUnserved(String reason, long retryAfterMillis) {
+            lastRetryAfterMillis = retryAfterMillis;
+            countRefusedDemand();
+            perform(machine.onNoServer(), reason);
+        }
+    }
 }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ExchangeContext.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ExchangeContext.java
@@ -8,6 +8,7 @@
 import org.agatehatch.gateway.connection.BackendConnectionPool;
 import org.agatehatch.gateway.metrics.GatewayMetrics;
 import org.agatehatch.internal.process.DemandMeter;
+import org.agatehatch.internal.request.ServerAvailability;
 import org.agatehatch.internal.request.ServerChooser;
 import org.agatehatch.internal.request.ServerLimits;
 import org.agatehatch.internal.request.SoftwareVersions;
@@ -34,6 +35,7 @@
         CrashAttribution crashes,
         ServerProbe serverProbe,
         ServerLimits serverLimits,
+        ServerAvailability availability,
         PermitRequester permitRequester,
         StreamOrigins streamOrigins,
         SoftwareVersions softwareVersions,
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ExchangeTimeouts.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ExchangeTimeouts.java
@@ -5,6 +5,7 @@
  *
  * @param maxResidencyWaitMillis maximum time for which a request waits for a model or adapter to be loaded
  * @param maxPermitWaitMillis maximum time for which a request waits until a server that names a limit may take it
+ * @param maxClosureWaitMillis maximum time for which a request waits until a server that has closed itself opens again
  * @param nonRepeatableMaxIdleMillis maximum idle time of a pooled connection that may carry a non-repeatable request
  * @param firstByteTargetFactor multiple of the route's latency target after which an attempt at a repeatable request without a
  *     first byte counts as silent
@@ -16,6 +17,7 @@
 public record ExchangeTimeouts(
         long maxResidencyWaitMillis,
         long maxPermitWaitMillis,
+        long maxClosureWaitMillis,
         long nonRepeatableMaxIdleMillis,
         double firstByteTargetFactor,
         long minSilenceMillis,
@@ -23,5 +25,6 @@
         long overloadRetryAfterMillis,
         long modelLoadRetryAfterMillis) {
     /** Loading a model takes 0.3 to 0.9 s from a runner's memory or disk, and 2 to 4.2 s from the weight store. */
-    public static final ExchangeTimeouts DEFAULT = new ExchangeTimeouts(1_500, 1_000, 1_000, 1.5, 300, 4, 250, 900);
+    public static final ExchangeTimeouts DEFAULT =
+            new ExchangeTimeouts(1_500, 1_000, 1_000, 1_000, 1.5, 300, 4, 250, 900);
 }
--- /dev/null
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ServerWait.java
@@ -0,0 +1,97 @@
+package org.agatehatch.gateway.request;
+
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.agatehatch.internal.request.ServerChoice;
+
+/**
+ * Lets a request wait for a server where its deadline allows that: until a runner has loaded its model or adapter, or until a
+ * server that has closed itself opens again. Otherwise the request is refused at once. Runs on the traffic thread.
+ */
+final class ServerWait {
+    /** Maximum number of times that a request asks for a model or adapter to be loaded before it is refused. */
+    private static final int MAX_RESIDENCY_WAITS = 3;
+
+    /** A request waits for at most this fraction of its remaining time, since its answer takes time too. */
+    private static final int WAIT_DIVISOR = 3;
+
+    /** The request that waits. */
+    interface Waiter {
+        /** Returns whether the request has ended. */
+        boolean isFinished();
+
+        /** Chooses a server again. */
+        void chooseAgain();
+
+        /** Refuses the request, whose demand has not been served. */
+        void refuseUnserved(String reason, long retryAfterMillis);
+    }
+
+    private final ExchangeContext context;
+    private final Waiter waiter;
+    private final LongSupplier remainingMillis;
+    private int residencyWaits;
+
+    /**
+     * Creates the waits of a request.
+     *
+     * @param remainingMillis time until the request's deadline
+     */
+    ServerWait(ExchangeContext context, Waiter waiter, LongSupplier remainingMillis) {
+        this.context = context;
+        this.waiter = waiter;
+        this.remainingMillis = remainingMillis;
+    }
+
+    /** Waits for the first closed server to open if that is soon and few requests wait. */
+    void onClosed(ServerChoice.Closed closed) {
+        long maxWaitMillis =
+                Math.min(context.timeouts().maxClosureWaitMillis(), remainingMillis.getAsLong() / WAIT_DIVISOR);
+        boolean waits = closed.opensInMillis() <= maxWaitMillis
+                && context.availability().tryStartWait(closed.places());
+        if (!waits) {
+            waiter.refuseUnserved("servers_closed opens_in_ms=" + closed.opensInMillis(), closed.opensInMillis());
+            return;
+        }
+        // The closure may end within the millisecond that the clock has not counted yet.
+        context.loop().schedule(this::onOpen, closed.opensInMillis() + 1, TimeUnit.MILLISECONDS);
+    }
+
+    private void onOpen() {
+        context.availability().endWait();
+        waiter.chooseAgain();
+    }
+
+    /** Asks for a missing model or adapter, and waits for it if a runner will hold it soon enough. */
+    void onNotResident(String service, ServerChoice.NotResident missing) {
+        if (++residencyWaits > MAX_RESIDENCY_WAITS) {
+            refuseNotResident(missing, context.timeouts().modelLoadRetryAfterMillis());
+            return;
+        }
+        context.residencyRequester()
+                .requestResidency(service, missing.model(), missing.adapter())
+                .whenComplete((readyInMillis, failure) ->
+                        context.loop().execute(() -> onResidencyAnswer(missing, failure == null ? readyInMillis : -1)));
+    }
+
+    private void onResidencyAnswer(ServerChoice.NotResident missing, long readyInMillis) {
+        if (waiter.isFinished()) {
+            return;
+        }
+        if (readyInMillis < 0) {
+            refuseNotResident(missing, context.timeouts().modelLoadRetryAfterMillis());
+        } else if (readyInMillis == 0) {
+            waiter.chooseAgain();
+        } else if (readyInMillis
+                > Math.min(context.timeouts().maxResidencyWaitMillis(), remainingMillis.getAsLong() / WAIT_DIVISOR)) {
+            refuseNotResident(missing, readyInMillis);
+        } else {
+            context.loop().schedule(waiter::chooseAgain, readyInMillis, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void refuseNotResident(ServerChoice.NotResident missing, long retryAfterMillis) {
+        waiter.refuseUnserved(
+                "not_resident model=" + missing.model() + " adapter=" + missing.adapter(), retryAfterMillis);
+    }
+}
