Let one bad input cost that input alone

Cause: an exception of a listener left the chain of reads of a topic, which was then not followed again; a record that could not be parsed failed the whole read; a peer's message that could not be processed closed the link with all requests on it.

Change: InputGuard runs the processing of single inputs and reports each cause once; the topic follower, the store's client, the origins of streams, the state of peers and the links between nodes use it. The follower reads on after any failure, and the control thread survives errors. The registry believes a server again that goes on to write entries which seem older than a known one, once the store would have removed the entry of a server that is gone.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/BackendRegistry.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/BackendRegistry.java
@@ -6,11 +6,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import java.util.function.ToLongFunction;
 import org.agatehatch.api.fleet.ServerEntry;
+import org.agatehatch.api.fleet.ServerRecord;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -31,6 +30,12 @@
     /** Time after this node's first read of a restored store within which servers write missing entries again. */
     static final long RESTORE_GRACE_MILLIS = 2_000;
 
+    /**
+     * Time after which an entry that seems outdated is believed if it is still the newest one of its server: entries of servers
+     * that are gone are removed after three of their intervals, in which the reads of a restored store succeed.
+     */
+    static final long DISPUTE_MILLIS = 6_000;
+
     /** Maximum number of servers whose last version is remembered, many times that of a deployment. */
     private static final int MAX_VERSIONS = 8_192;
 
@@ -55,14 +60,17 @@
         }
     }
 
-    private final BiFunction<String, byte[], Optional<ServerEntry>> decoder;
-    private final ToLongFunction<byte[]> renewalCount;
+    private final ServerRecord.Decoder decoder;
+    private final InputGuard guard = new InputGuard("server_entry");
     private final ControlThread control;
     private final LongSupplier sinceStoreRecoveryMillis;
     private final Consumer<FleetView> publisher;
     private final Map<String, ServerEntry> entries = new LinkedHashMap<>();
     private final Map<String, ControlThread.ScheduledTask> scheduledRemovals = new HashMap<>();
 
+    /** Entries that seem outdated, and are the newest that were read of their servers. */
+    private final Map<String, ServerRecord> disputed = new HashMap<>();
+
     /** Versions of the newest entries, also of servers that were removed. */
     private final Map<String, Version> versions = new LinkedHashMap<>() {
         @Override
@@ -79,18 +87,14 @@
     /**
      * Creates an empty registry.
      *
-     * @param decoder returns empty for an entry that describes no usable server
-     * @param renewalCount returns how many entries the process that wrote an entry had written before
      * @param sinceStoreRecoveryMillis time since reads of the store succeeded again after a failure; 0 while they fail
      */
     public BackendRegistry(
-            BiFunction<String, byte[], Optional<ServerEntry>> decoder,
-            ToLongFunction<byte[]> renewalCount,
+            ServerRecord.Decoder decoder,
             ControlThread control,
             LongSupplier sinceStoreRecoveryMillis,
             Consumer<FleetView> publisher) {
         this.decoder = decoder;
-        this.renewalCount = renewalCount;
         this.control = control;
         this.sinceStoreRecoveryMillis = sinceStoreRecoveryMillis;
         this.publisher = publisher;
@@ -98,20 +102,55 @@
 
     @Override
     public void onValue(String key, byte[] value) {
-        Optional<ServerEntry> decoded = decoder.apply(key, value);
-        if (decoded.isEmpty()) {
-            log.warn("event=server_entry_ignored server={} reason=not_usable bytes={}", key, value.length);
-            return;
+        try {
+            add(key, decoder.decode(key, value));
+        } catch (IllegalArgumentException e) {
+            guard.reportUnusable(key, e.getMessage());
         }
-        ServerEntry entry = decoded.get();
-        Version version = new Version(entry.startedAtMillis(), renewalCount.applyAsLong(value));
+    }
+
+    private void add(String key, ServerRecord decoded) {
+        Version version = version(decoded);
         Version known = versions.get(key);
-        ServerEntry before = entries.get(key);
-        boolean outdated = known != null && (version.isOlderThan(known) || (before == null && version.isSameAs(known)));
-        if (outdated) {
+        boolean goneSince = known != null && !entries.containsKey(key) && version.isSameAs(known);
+        if (goneSince || (known != null && version.isOlderThan(known))) {
             log.info("event=server_entry_ignored server={} reason=outdated read={} known={}", key, version, known);
+            if (!goneSince && disputed.put(key, decoded) == null) {
+                control.schedule(DISPUTE_MILLIS, () -> resolveDispute(key));
+            }
             return;
         }
+        disputed.remove(key);
+        accept(key, decoded.entry(), version);
+    }
+
+    private static Version version(ServerRecord decoded) {
+        return new Version(decoded.entry().startedAtMillis(), decoded.renewals());
+    }
+
+    /**
+     * Believes a server that has gone on to write entries that seem older than a known one. The known one was then written by
+     * somebody else.
+     */
+    private void resolveDispute(String key) {
+        if (!disputed.containsKey(key)) {
+            return;
+        }
+        if (sinceStoreRecoveryMillis.getAsLong() < DISPUTE_MILLIS) {
+            control.schedule(DISPUTE_MILLIS, () -> resolveDispute(key));
+            return;
+        }
+        ServerRecord newest = disputed.remove(key);
+        log.warn(
+                "event=server_entry_restored server={} believed={} dropped={}",
+                key,
+                version(newest),
+                versions.get(key));
+        accept(key, newest.entry(), version(newest));
+    }
+
+    private void accept(String key, ServerEntry entry, Version version) {
+        ServerEntry before = entries.get(key);
         versions.remove(key);
         versions.put(key, version);
         cancelScheduledRemoval(key);
@@ -127,6 +166,7 @@
 
     @Override
     public void onRemoved(String key) {
+        disputed.remove(key);
         if (!entries.containsKey(key)) {
             return;
         }
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/DefaultControlThread.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/DefaultControlThread.java
@@ -8,7 +8,7 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * A control thread on a platform thread. An exception in a task is logged, and the thread continues with the next
+ * A control thread on a platform thread. An exception or error in a task is logged, and the thread continues with the next
  * task.
  */
 public final class DefaultControlThread implements ControlThread, AutoCloseable {
@@ -56,7 +56,7 @@
     private static void runLogged(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             log.error("task on the control thread failed; its effect may be missing until a later task repeats it", e);
         }
     }
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/TopicFollower.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/TopicFollower.java
@@ -54,6 +54,7 @@
     private final MonotonicClock clock;
     private final RandomGenerator random;
     private final Listener listener;
+    private final InputGuard guard;
     private final Map<String, Long> offsetByKey = new HashMap<>();
     private long nextOffset = UNREAD;
     private long era = -1;
@@ -77,6 +78,7 @@
         this.clock = clock;
         this.random = random;
         this.listener = listener;
+        this.guard = new InputGuard("store/" + name);
     }
 
     /** Starts reading. */
@@ -116,7 +118,7 @@
                         return;
                     }
                     onSuccess();
-                    apply(snapshot);
+                    applySafely("snapshot", () -> apply(snapshot));
                 }));
     }
 
@@ -133,10 +135,20 @@
                         return;
                     }
                     onSuccess();
-                    apply(changes);
+                    applySafely("read", () -> apply(changes));
                 }));
     }
 
+    /** Applies a response, and reads on also after an unexpected failure. */
+    private void applySafely(String step, Runnable application) {
+        try {
+            application.run();
+        } catch (RuntimeException | Error e) {
+            log.error("event=topic_read_failed topic={} step={} position={}", name, step, nextOffset, e);
+            onFailure(step, e);
+        }
+    }
+
     /** Returns whether a response belongs to the present or to a new era. In a new era, positions of the last one are dropped. */
     private boolean acceptEra(long observed) {
         if (observed < era) {
@@ -154,7 +166,7 @@
             offsetByKey.replaceAll((key, offset) -> UNREAD);
             everFailed = true;
             recoveredNanos = clock.nanos();
-            listener.onNewEra(observed);
+            guard.run("era", () -> listener.onNewEra(observed));
         }
         return true;
     }
@@ -173,13 +185,13 @@
             snapshot();
             return;
         }
-        listener.onBatch(() -> changes.entries().forEach(this::apply));
+        guard.run("batch", () -> listener.onBatch(() -> changes.entries().forEach(this::apply)));
         nextOffset = Math.max(nextOffset, changes.nextOffset());
         if (nextOffset < changes.endOffset()) {
             read();
             return;
         }
-        listener.onCaughtUp();
+        guard.run("end", listener::onCaughtUp);
         readAfterPause();
     }
 
@@ -189,7 +201,7 @@
             return;
         }
         boolean stale = snapshot.endOffset() < nextOffset;
-        listener.onBatch(() -> snapshot.entries().forEach(this::apply));
+        guard.run("batch", () -> listener.onBatch(() -> snapshot.entries().forEach(this::apply)));
         if (stale) {
             log.warn("event=stale_snapshot topic={} end={} read_up_to={}", name, snapshot.endOffset(), nextOffset);
             retryStale();
@@ -200,11 +212,11 @@
         for (String key : List.copyOf(offsetByKey.keySet())) {
             if (!present.contains(key) && offsetByKey.get(key) < snapshot.endOffset()) {
                 offsetByKey.remove(key);
-                listener.onRemoved(key);
+                guard.run(key, () -> listener.onRemoved(key));
             }
         }
         nextOffset = snapshot.endOffset();
-        listener.onCaughtUp();
+        guard.run("end", listener::onCaughtUp);
         readAfterPause();
     }
 
@@ -221,10 +233,10 @@
         Optional<byte[]> value = entry.value();
         if (value.isPresent()) {
             offsetByKey.put(entry.key(), entry.offset());
-            listener.onValue(entry.key(), value.get());
+            guard.run(entry.key(), () -> listener.onValue(entry.key(), value.get()));
         } else {
             offsetByKey.remove(entry.key());
-            listener.onRemoved(entry.key());
+            guard.run(entry.key(), () -> listener.onRemoved(entry.key()));
         }
     }
 
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/request/StreamOrigins.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/request/StreamOrigins.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Executor;
 import org.agatehatch.api.fleet.RecordLog;
+import org.agatehatch.internal.process.InputGuard;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -27,6 +28,7 @@
 
     private final RecordLog shared;
     private final Executor executor;
+    private final InputGuard guard = new InputGuard("stream_origin");
     private final Map<String, Origin> origins = new LinkedHashMap<>() {
         @Override
         protected boolean removeEldestEntry(Map.Entry<String, Origin> eldest) {
@@ -87,7 +89,7 @@
             read.completeExceptionally(failure);
             return;
         }
-        batch.records().forEach(this::add);
+        batch.records().forEach(record -> guard.run("record", () -> add(record)));
         boolean newEra = batch.era() != era && nextOffset > 0;
         era = batch.era();
         // Records of a new era may stand below the position in the old one.
@@ -103,7 +105,7 @@
     private void add(byte[] record) {
         String[] fields = new String(record, StandardCharsets.UTF_8).split("\n", -1);
         if (fields.length != 3) {
-            log.warn("event=stream_origin_unreadable bytes={}", record.length);
+            guard.reportUnusable("record", record.length + " bytes that are no stream's origin");
             return;
         }
         origins.put(fields[0], new Origin(fields[1], fields[2]));
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/BackendRegistryTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/BackendRegistryTest.java
@@ -4,10 +4,10 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import org.agatehatch.api.fleet.PeerAddress;
 import org.agatehatch.api.fleet.ServerEntry;
+import org.agatehatch.api.fleet.ServerRecord;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -25,7 +25,6 @@
         view = FleetView.EMPTY;
         registry = new BackendRegistry(
                 BackendRegistryTest::decode,
-                BackendRegistryTest::renewals,
                 time.node(1),
                 () -> sinceStoreRecoveryMillis,
                 published -> view = published);
@@ -33,22 +32,17 @@
         put("s2", "ready 1");
     }
 
-    private static Optional<ServerEntry> decode(String id, byte[] bytes) {
+    private static ServerRecord decode(String id, byte[] bytes) {
         String[] fields = new String(bytes, StandardCharsets.UTF_8).split(" ");
         if (fields.length < 2) {
-            return Optional.empty();
+            throw new IllegalArgumentException("too few fields");
         }
         boolean draining = fields[0].equals("draining");
         long startedAtMillis = Long.parseLong(fields[1]);
         PeerAddress address = new PeerAddress("10.0.0.1", 80);
-        return Optional.of(
-                new ServerEntry(id, "desk", address, "d1", 6, draining, startedAtMillis, "v1", List.of(), Set.of()));
-    }
-
-    /** Returns the third field of an entry; 0 without one. */
-    private static long renewals(byte[] bytes) {
-        String[] fields = new String(bytes, StandardCharsets.UTF_8).split(" ");
-        return fields.length < 3 ? 0 : Long.parseLong(fields[2]);
+        ServerEntry entry =
+                new ServerEntry(id, "desk", address, "d1", 6, draining, startedAtMillis, "v1", List.of(), Set.of());
+        return new ServerRecord(entry, fields.length < 3 ? 0 : Long.parseLong(fields[2]));
     }
 
     private void put(String id, String entry) {
@@ -152,4 +146,37 @@
         registry.onRemoved("s2");
         assertEquals(servers(), List.of());
     }
+
+    // Guards against an odd entry after which each true entry of its server counts as outdated.
+    @Test
+    public void a_server_is_believed_again_after_another_writer_has_left_an_entry_with_higher_counts() {
+        put("s1", "draining 9000000000000 9000000000000");
+        put("s1", "ready 1 2");
+        time.advance(BackendRegistry.DISPUTE_MILLIS - 1);
+        put("s1", "ready 1 7");
+        assertEquals(servers(), List.of("s2"));
+        time.advance(1);
+        assertEquals(servers(), List.of("s1", "s2"));
+        put("s1", "draining 1 8");
+        assertEquals(servers(), List.of("s2"));
+    }
+
+    @Test
+    public void an_entry_of_a_restored_store_that_lapses_is_not_believed() {
+        put("s1", "draining 1 8");
+        put("s1", "ready 1 7");
+        time.advance(3_600);
+        registry.onRemoved("s1");
+        time.advance(2 * BackendRegistry.DISPUTE_MILLIS);
+        assertEquals(servers(), List.of("s2"));
+    }
+
+    @Test
+    public void an_older_entry_is_not_believed_while_the_store_cannot_remove_it() {
+        put("s1", "draining 1 8");
+        put("s1", "ready 1 7");
+        sinceStoreRecoveryMillis = 0;
+        time.advance(10 * BackendRegistry.DISPUTE_MILLIS);
+        assertEquals(servers(), List.of("s2"));
+    }
 }
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/DefaultControlThreadTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/DefaultControlThreadTest.java
@@ -20,6 +20,12 @@
             control.execute(() -> {
                 throw new IllegalStateException("expected by the test");
             });
+            control.schedule(0, () -> {
+                throw new StackOverflowError("expected by the test");
+            });
+            control.execute(() -> {
+                throw new AssertionError("expected by the test");
+            });
             for (int i = 0; i < 3; i++) {
                 String text = "task " + i;
                 control.execute(() ->
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/TopicFollowerTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/TopicFollowerTest.java
@@ -4,6 +4,8 @@
 import static org.testng.Assert.assertTrue;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
@@ -198,4 +200,83 @@
         time.advance(MAX_PROPAGATION_MILLIS);
         assertEquals(valueByKey, Map.of("config", "1"));
     }
+
+    // Guards against a topic that is no longer followed after a listener has failed on one entry.
+    @Test
+    public void a_failing_listener_loses_the_entry_that_it_failed_on_and_no_other() {
+        for (Runnable failure : List.<Runnable>of(
+                () -> {
+                    throw new IllegalStateException("expected by the test");
+                },
+                () -> {
+                    throw new StackOverflowError("expected by the test");
+                },
+                () -> {
+                    throw new AssertionError("expected by the test");
+                })) {
+            start();
+            FailingListener failing = new FailingListener(failure);
+            new TopicFollower(
+                            "test",
+                            topic,
+                            TopicFollowerSettings.LONG_POLLING,
+                            time.node(1),
+                            time,
+                            new Random(1),
+                            failing)
+                    .start();
+            time.advance(100);
+            topic.put("odd", "x");
+            topic.put("sound", "1");
+            time.advance(MAX_PROPAGATION_MILLIS);
+            topic.drop("odd");
+            topic.put("sound", "2");
+            time.advance(MAX_PROPAGATION_MILLIS);
+            topic.restoreTo(2);
+            topic.put("sound", "3");
+            time.advance(MAX_PROPAGATION_MILLIS);
+            topic.put("sound", "4");
+            time.advance(MAX_PROPAGATION_MILLIS);
+            assertEquals(failing.seen, List.of("config=1", "sound=1", "sound=2", "config=1", "sound=3", "sound=4"));
+        }
+    }
+
+    /** Fails on each event but those of sound entries. */
+    private static final class FailingListener implements TopicFollower.Listener {
+        private final List<String> seen = new ArrayList<>();
+        private final Runnable failure;
+
+        private FailingListener(Runnable failure) {
+            this.failure = failure;
+        }
+
+        @Override
+        public void onBatch(Runnable changes) {
+            changes.run();
+            failure.run();
+        }
+
+        @Override
+        public void onValue(String key, byte[] value) {
+            if (key.equals("odd")) {
+                failure.run();
+            }
+            seen.add(key + '=' + new String(value, StandardCharsets.UTF_8));
+        }
+
+        @Override
+        public void onRemoved(String key) {
+            failure.run();
+        }
+
+        @Override
+        public void onNewEra(long era) {
+            failure.run();
+        }
+
+        @Override
+        public void onCaughtUp() {
+            failure.run();
+        }
+    }
 }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/links/TcpPeerTransport.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/links/TcpPeerTransport.java
@@ -23,6 +23,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import org.agatehatch.api.errors.AgatehatchException;
 import org.agatehatch.api.errors.ErrorCode;
 import org.agatehatch.api.errors.Outcome;
@@ -31,6 +32,7 @@
 import org.agatehatch.api.peer.PeerTransport;
 import org.agatehatch.internal.connection.PeerFrame;
 import org.agatehatch.internal.connection.PeerFrameCodec;
+import org.agatehatch.internal.process.InputGuard;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -58,6 +60,7 @@
     private final Map<String, ChannelFuture> connections = new HashMap<>();
     private final Map<Long, PendingRequest> pendingRequests = new HashMap<>();
     private final Set<Channel> retired = new HashSet<>();
+    private final InputGuard guard = new InputGuard("node_link");
     private long lastCorrelationId;
 
     private record PendingRequest(Channel channel, CompletableFuture<PeerMessage> response) {}
@@ -187,20 +190,30 @@
             String peer = String.valueOf(context.channel().remoteAddress());
             PeerFrame frame = PeerFrameCodec.decode(copy, copy.length, peer);
             switch (frame.kind()) {
-                case NOTICE -> handler.receive(frame.message());
+                case NOTICE -> receive(frame.message());
                 case QUESTION -> onQuestion(context.channel(), frame);
                 case ANSWER, FAILURE -> onAnswer(frame, peer);
             }
         }
 
         private void onQuestion(Channel channel, PeerFrame request) {
-            handler.receive(request.message()).whenComplete((reply, failure) -> {
+            receive(request.message()).whenComplete((reply, failure) -> {
                 PeerFrame.Kind kind = failure == null ? PeerFrame.Kind.ANSWER : PeerFrame.Kind.FAILURE;
                 PeerMessage message = failure == null ? reply : new PeerMessage("failure", new byte[0]);
                 write(channel, new PeerFrame(kind, request.correlationId(), message));
             });
         }
 
+        /** A message that cannot be processed fails by itself; the link and the other messages on it stay. */
+        private CompletionStage<PeerMessage> receive(PeerMessage message) {
+            CompletableFuture<PeerMessage> failed = new CompletableFuture<>();
+            AtomicReference<CompletionStage<PeerMessage>> reply = new AtomicReference<>(failed);
+            if (!guard.run(message.type(), () -> reply.set(handler.receive(message)))) {
+                failed.completeExceptionally(new IllegalArgumentException("message '" + message.type() + "' failed"));
+            }
+            return reply.get();
+        }
+
         private void onAnswer(PeerFrame frame, String peer) {
             PendingRequest request = pendingRequests.remove(frame.correlationId());
             if (request == null) {
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
@@ -19,6 +19,7 @@
 import org.agatehatch.api.fleet.KeyedTopic;
 import org.agatehatch.api.fleet.PeerAddress;
 import org.agatehatch.api.fleet.ServerEntry;
+import org.agatehatch.api.fleet.ServerRecord;
 import org.agatehatch.api.peer.PeerMessage;
 import org.agatehatch.api.time.MonotonicClock;
 import org.agatehatch.gateway.connection.BackendConnectionPool;
@@ -40,6 +41,7 @@
 import org.agatehatch.internal.process.EntryNodeSelector;
 import org.agatehatch.internal.process.FleetView;
 import org.agatehatch.internal.process.HolderFailureDetector;
+import org.agatehatch.internal.process.InputGuard;
 import org.agatehatch.internal.process.LimitMessages;
 import org.agatehatch.internal.process.LoadAggregator;
 import org.agatehatch.internal.process.MembershipSettings;
@@ -111,6 +113,7 @@
     private final BackendRegistry registry;
     private final NodeMembership membership;
     private final PeerStateBootstrap peerBootstrap;
+    private final InputGuard peerStateGuard = new InputGuard("peer_state");
     private final PlacementLease claim;
     private final BackendConnectionPool serverPool;
     private final GracefulShutdown shutdown;
@@ -157,12 +160,8 @@
         serverTopic = newRelayedTopic(SERVER_TOPIC, platform.serverTopic(), this::describesSameServer);
         configFollower =
                 newFollower(CONFIG_TOPIC, configTopic, TopicFollowerSettings.LONG_POLLING, new ConfigListener());
-        registry = new BackendRegistry(
-                platform.serverDecoder(),
-                platform.renewalCount(),
-                control,
-                this::sinceStoreRegainedMillis,
-                this::onFleet);
+        registry =
+                new BackendRegistry(platform.serverDecoder(), control, this::sinceStoreRegainedMillis, this::onFleet);
         peerBootstrap =
                 new PeerStateBootstrap(otherSeedNodes(settings), control, this::hasCompleteState, this::onPeerState);
         serverFollower = newFollower(
@@ -222,9 +221,15 @@
 
     /** Ignores renewals: a server rewrites its record many times a minute without changing its content. */
     private boolean describesSameServer(byte[] before, byte[] after) {
-        return platform.serverDecoder()
-                .apply("", before)
-                .equals(platform.serverDecoder().apply("", after));
+        try {
+            ServerRecord.Decoder decoder = platform.serverDecoder();
+            return decoder.decode("", before)
+                    .entry()
+                    .equals(decoder.decode("", after).entry());
+        } catch (IllegalArgumentException e) {
+            log.debug("a record names no usable server", e);
+            return Arrays.equals(before, after);
+        }
     }
 
     private ServerChooser newChooser() {
@@ -469,7 +474,7 @@
     private void onPeerState(StateMessages.StoredState state) {
         state.config().ifPresent(record -> onConfig(CONFIG_KEY, record));
         if (!registry.caughtUp() && !state.servers().isEmpty()) {
-            state.servers().forEach(registry::onValue);
+            state.servers().forEach((key, value) -> peerStateGuard.run(key, () -> registry.onValue(key, value)));
             serverFollower.addKnownKeys(state.servers().keySet());
             registry.onCaughtUp();
         }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/PlatformBindings.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/PlatformBindings.java
@@ -2,13 +2,12 @@
 
 import java.util.Optional;
 import java.util.function.BiFunction;
-import java.util.function.ToLongFunction;
 import org.agatehatch.api.fleet.FleetConfig;
 import org.agatehatch.api.fleet.KeyedTopic;
 import org.agatehatch.api.fleet.NodeGroup;
 import org.agatehatch.api.fleet.RecordLog;
 import org.agatehatch.api.fleet.ResidencyOrders;
-import org.agatehatch.api.fleet.ServerEntry;
+import org.agatehatch.api.fleet.ServerRecord;
 import org.agatehatch.gateway.HeaderCodec;
 
 /**
@@ -17,8 +16,7 @@
  * @param configTopic topic to which the operator writes configurations
  * @param configDecoder decodes a key and record of {@code configTopic}; empty for a key that holds no configuration
  * @param serverTopic topic in which backend servers register
- * @param serverDecoder decodes a key and record of {@code serverTopic}; empty for an entry that names no usable server
- * @param renewalCount returns how many entries the process that wrote an entry had written before
+ * @param serverDecoder decodes a key and record of {@code serverTopic}
  * @param nodeGroup group of the nodes of this system
  * @param placementClaimTopic topic that records which node may send orders to runners
  * @param streamOriginLog log that records where resumable streams began
@@ -29,8 +27,7 @@
         KeyedTopic configTopic,
         BiFunction<String, byte[], Optional<FleetConfig>> configDecoder,
         KeyedTopic serverTopic,
-        BiFunction<String, byte[], Optional<ServerEntry>> serverDecoder,
-        ToLongFunction<byte[]> renewalCount,
+        ServerRecord.Decoder serverDecoder,
         NodeGroup nodeGroup,
         KeyedTopic placementClaimTopic,
         RecordLog streamOriginLog,
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/ResidencyClient.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/ResidencyClient.java
@@ -105,8 +105,8 @@
         control.execute(() -> {
             try {
                 dispatch(message, response);
-            } catch (IllegalArgumentException e) {
-                log.warn("event=message_ignored type={} cause=\"{}\"", message.type(), e.getMessage());
+            } catch (RuntimeException e) {
+                log.warn("event=message_ignored type={} cause=\"{}\"", message.type(), e.toString());
                 response.completeExceptionally(e);
             }
         });
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/Cluster.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/Cluster.java
@@ -30,6 +30,7 @@
 import org.agatehatch.api.fleet.RouteSpec;
 import org.agatehatch.api.fleet.RunnerReport;
 import org.agatehatch.api.fleet.ServerEntry;
+import org.agatehatch.api.fleet.ServerRecord;
 import org.agatehatch.api.fleet.WeightedService;
 import org.agatehatch.gateway.connection.SimpleHttpServer;
 import org.agatehatch.gateway.process.EdgeListeners;
@@ -151,7 +152,6 @@
                 (key, bytes) -> Optional.of(config()),
                 serverTopic,
                 Cluster::serverEntry,
-                record -> 0,
                 group,
                 claimTopic,
                 streamOriginLog,
@@ -182,9 +182,9 @@
                 250);
     }
 
-    private static Optional<ServerEntry> serverEntry(String key, byte[] record) {
+    private static ServerRecord serverEntry(String key, byte[] record) {
         String[] fields = new String(record, StandardCharsets.UTF_8).split(" ", -1);
-        return Optional.of(new ServerEntry(
+        ServerEntry entry = new ServerEntry(
                 fields[0],
                 SERVICE,
                 new PeerAddress("127.0.0.1", Integer.parseInt(fields[1])),
@@ -194,7 +194,8 @@
                 Long.parseLong(fields[2]),
                 "v1",
                 List.of(new ResidentModel(MODEL, 1, Set.of())),
-                Set.of(MODEL)));
+                Set.of(MODEL));
+        return new ServerRecord(entry, 0);
     }
 
     @Override
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/links/TcpPeerTransportTest.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/links/TcpPeerTransportTest.java
@@ -54,6 +54,9 @@
     }
 
     private CompletableFuture<PeerMessage> replyTo(String type) {
+        if (type.equals("odd")) {
+            throw new IllegalStateException("expected by the test");
+        }
         return replies.computeIfAbsent(type, key -> new CompletableFuture<>());
     }
 
@@ -94,4 +97,15 @@
             silent.accept().close();
         }
     }
+
+    // Guards against one message that cannot be processed and takes the link and the requests on it down.
+    @Test
+    public void a_message_that_cannot_be_processed_fails_by_itself() throws Exception {
+        CompletableFuture<PeerMessage> other = ask("other", LONG_TIMEOUT_MILLIS);
+        asking.send(address, new PeerMessage("odd", new byte[0]));
+        CompletableFuture<PeerMessage> odd = ask("odd", LONG_TIMEOUT_MILLIS);
+        expectThrows(ExecutionException.class, () -> odd.get(LONG_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+        replyTo("other").complete(REPLY);
+        assertEquals(typeOf(other), "reply");
+    }
 }
