Do not guess the version of a stream beyond the age of the view

Cause: a node that finds no record of a stream goes on at the only version of the servers' software that it has seen. A node that was cut off from the store while servers of a new version joined had seen one version only.

Change: a guess needs a view of the servers that is newer than the request; the follower of the servers' topic says as of when its reads are complete, and what relays answer counts as older by the age that relays may have. Versions that come and go within one read are observed, and the observation starts anew after a gap (history that the store no longer has, a new era, the removal of a server that was never seen). Streams without a record are looked up at the other nodes first, since the node that began a stream remembers it.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/BackendRegistry.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/BackendRegistry.java
@@ -39,6 +39,15 @@
     /** Maximum number of servers whose last version is remembered, many times that of a deployment. */
     private static final int MAX_VERSIONS = 8_192;
 
+    /** Is told of all entries, also of servers that leave again before the next view is published. */
+    public interface Observer {
+        /** Called when an entry is accepted. */
+        void onEntry(ServerEntry entry);
+
+        /** Called when servers may have come and gone unseen. */
+        void onGap();
+    }
+
     private static final Logger log = LoggerFactory.getLogger(BackendRegistry.class);
 
     /**
@@ -64,6 +73,7 @@
     private final InputGuard guard = new InputGuard("server_entry");
     private final ControlThread control;
     private final LongSupplier sinceStoreRecoveryMillis;
+    private final Observer observer;
     private final Consumer<FleetView> publisher;
     private final Map<String, ServerEntry> entries = new LinkedHashMap<>();
     private final Map<String, ControlThread.ScheduledTask> scheduledRemovals = new HashMap<>();
@@ -93,10 +103,12 @@
             ServerRecord.Decoder decoder,
             ControlThread control,
             LongSupplier sinceStoreRecoveryMillis,
+            Observer observer,
             Consumer<FleetView> publisher) {
         this.decoder = decoder;
         this.control = control;
         this.sinceStoreRecoveryMillis = sinceStoreRecoveryMillis;
+        this.observer = observer;
         this.publisher = publisher;
     }
 
@@ -151,6 +163,7 @@
 
     private void accept(String key, ServerEntry entry, Version version) {
         ServerEntry before = entries.get(key);
+        observer.onEntry(entry);
         versions.remove(key);
         versions.put(key, version);
         cancelScheduledRemoval(key);
@@ -168,6 +181,7 @@
     public void onRemoved(String key) {
         disputed.remove(key);
         if (!entries.containsKey(key)) {
+            observer.onGap();
             return;
         }
         long graceMillis =
@@ -179,8 +193,14 @@
         remove(key, "left");
     }
 
+    @Override
+    public void onHistoryMissing() {
+        observer.onGap();
+    }
+
     @Override
     public void onNewEra(long era) {
+        observer.onGap();
         restoresInGrace++;
         control.schedule(RESTORE_GRACE_MILLIS, () -> restoresInGrace--);
     }
--- /dev/null
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/StreamOriginMessages.java
@@ -0,0 +1,55 @@
+package org.agatehatch.internal.process;
+
+import java.util.Map;
+import java.util.Optional;
+import org.agatehatch.api.peer.PeerMessage;
+import org.agatehatch.internal.request.StreamOrigins.Origin;
+import org.agatehatch.internal.version.record.Fields;
+import org.agatehatch.internal.version.record.MessagePackValues;
+
+/** Messages by which a node asks others where a stream began. */
+public final class StreamOriginMessages {
+    /** Message type of a question. */
+    public static final String QUESTION_TYPE = "stream_origin_wanted";
+    /** Message type of the answer. */
+    public static final String ANSWER_TYPE = "stream_origin";
+
+    private StreamOriginMessages() {}
+
+    /** Encodes the question for the origin of the stream that a caller's attempt began. */
+    public static PeerMessage encodeQuestion(String attemptId) {
+        return new PeerMessage(QUESTION_TYPE, MessagePackValues.encode(Map.of("a", attemptId)));
+    }
+
+    /** Returns the attempt that a question is about. */
+    public static String decodeQuestion(PeerMessage message) {
+        return fields(message).text("a");
+    }
+
+    /** Encodes an answer, which is empty if the node does not know the stream. */
+    public static PeerMessage encodeAnswer(Optional<Origin> origin) {
+        return new PeerMessage(
+                ANSWER_TYPE,
+                MessagePackValues.encode(Map.of(
+                        "k",
+                        origin.isPresent(),
+                        "s",
+                        origin.map(Origin::service).orElse(""),
+                        "v",
+                        origin.map(Origin::softwareVersion).orElse(""))));
+    }
+
+    /** Decodes an answer. */
+    public static Optional<Origin> decodeAnswer(PeerMessage message) {
+        Fields fields = fields(message);
+        return fields.flag("k") ? Optional.of(new Origin(fields.text("s"), fields.text("v"))) : Optional.empty();
+    }
+
+    private static Fields fields(PeerMessage message) {
+        try {
+            return new Fields(MessagePackValues.decode(message.body()));
+        } catch (MessagePackValues.MalformedValueException e) {
+            throw new IllegalArgumentException("the body of a '" + message.type() + "' message is malformed", e);
+        }
+    }
+}
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/TopicFollower.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/TopicFollower.java
@@ -35,6 +35,9 @@
         /** Called when a key was removed. */
         default void onRemoved(String key) {}
 
+        /** Called before a snapshot is applied that stands in for changes which the store no longer has. */
+        default void onHistoryMissing() {}
+
         /** Called before the first records of a new era of the store are applied; see {@link KeyedTopic}. */
         default void onNewEra(long era) {}
 
@@ -62,6 +65,8 @@
     private long recoveredNanos;
     private boolean everFailed;
     private boolean stopped;
+    private volatile long currentAsOfNanos;
+    private volatile boolean everCurrent;
 
     public TopicFollower(
             String name,
@@ -107,10 +112,20 @@
         return consecutiveFailures > 0 ? 0 : (clock.nanos() - recoveredNanos) / 1_000_000;
     }
 
+    /**
+     * Returns whether all changes were applied that the source of the reads had at a time or later.
+     *
+     * @param nanos a time of the clock
+     */
+    public boolean isCurrentAsOf(long nanos) {
+        return everCurrent && currentAsOfNanos - nanos >= 0;
+    }
+
     private void snapshot() {
         if (stopped) {
             return;
         }
+        long sentNanos = clock.nanos();
         topic.snapshot()
                 .whenComplete((snapshot, failure) -> control.execute(() -> {
                     if (failure != null) {
@@ -118,7 +133,7 @@
                         return;
                     }
                     onSuccess();
-                    applySafely("snapshot", () -> apply(snapshot));
+                    applySafely("snapshot", () -> apply(snapshot, sentNanos));
                 }));
     }
 
@@ -128,6 +143,7 @@
         }
         // After a failure the read returns at once, since any response shows that the store is available again.
         long waitMillis = consecutiveFailures > 0 ? 0 : settings.waitMillis();
+        long sentNanos = clock.nanos();
         topic.changes(nextOffset, waitMillis)
                 .whenComplete((changes, failure) -> control.execute(() -> {
                     if (failure != null) {
@@ -135,7 +151,7 @@
                         return;
                     }
                     onSuccess();
-                    applySafely("read", () -> apply(changes));
+                    applySafely("read", () -> apply(changes, sentNanos));
                 }));
     }
 
@@ -171,7 +187,7 @@
         return true;
     }
 
-    private void apply(KeyedTopic.Changes changes) {
+    private void apply(KeyedTopic.Changes changes, long sentNanos) {
         if (!acceptEra(changes.era())) {
             retryStale();
             return;
@@ -182,6 +198,7 @@
         }
         if (changes.truncated()) {
             log.info("event=topic_truncated topic={} offset={}", name, nextOffset);
+            guard.run("gap", listener::onHistoryMissing);
             snapshot();
             return;
         }
@@ -191,11 +208,11 @@
             read();
             return;
         }
-        guard.run("end", listener::onCaughtUp);
+        onCurrent(sentNanos);
         readAfterPause();
     }
 
-    private void apply(KeyedTopic.Snapshot snapshot) {
+    private void apply(KeyedTopic.Snapshot snapshot, long sentNanos) {
         if (!acceptEra(snapshot.era())) {
             retryStale();
             return;
@@ -216,10 +233,16 @@
             }
         }
         nextOffset = snapshot.endOffset();
-        guard.run("end", listener::onCaughtUp);
+        onCurrent(sentNanos);
         readAfterPause();
     }
 
+    private void onCurrent(long sentNanos) {
+        guard.run("end", listener::onCaughtUp);
+        currentAsOfNanos = sentNanos;
+        everCurrent = true;
+    }
+
     /** Reads again after a stale response, which may be followed by others, so not at once. */
     private void retryStale() {
         control.schedule(settings.initialBackoffMillis(), nextOffset == UNREAD ? this::snapshot : this::read);
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/TopicRelayCache.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/TopicRelayCache.java
@@ -18,9 +18,9 @@
  * Records of a keyed topic that a relay has read, for the nodes that read the topic from it. Responses contain the
  * records whose meaning has changed; records that only renew an entry are left out. Runs on the control thread.
  */
-final class TopicRelayCache {
+public final class TopicRelayCache {
     /** Maximum age of the last read of the store. With an older one the cache is not current and serves no records. */
-    static final long MAX_AGE_MILLIS = 1_200;
+    public static final long MAX_AGE_MILLIS = 1_200;
 
     /** Maximum number of removals that are kept; a reader that is further behind must read a snapshot again. */
     private static final int MAX_REMOVALS = 512;
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/request/SoftwareVersions.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/request/SoftwareVersions.java
@@ -4,11 +4,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.agatehatch.api.fleet.ServerEntry;
 import org.agatehatch.api.time.MonotonicClock;
+import org.agatehatch.internal.process.BackendRegistry;
 import org.agatehatch.internal.process.FleetView;
 
-/** The versions of the servers' software that this process has seen in each service, and when. Thread-safe. */
-public final class SoftwareVersions {
+/**
+ * The versions of the servers' software that this process has seen in each service, and when. What it has seen says nothing
+ * about versions that came later than its last complete view, or that may have come and gone unseen. Thread-safe.
+ */
+public final class SoftwareVersions implements BackendRegistry.Observer {
     private final MonotonicClock clock;
     private final Map<String, Map<String, Long>> lastSeenMillisByService = new HashMap<>();
     private FleetView present = FleetView.EMPTY;
@@ -28,9 +33,22 @@
         recordPresent();
     }
 
+    /** Records the version of an entry, also if its server has left again by the next view. */
+    @Override
+    public synchronized void onEntry(ServerEntry entry) {
+        record(entry, clock.millis());
+    }
+
+    /** Starts to observe anew, since servers may have come and gone unseen. */
+    @Override
+    public synchronized void onGap() {
+        observedSinceMillis = clock.millis();
+    }
+
     /**
      * Returns the version of a service's servers if all that were present in the last span of time had the same one; empty if
-     * they differed, or this process has not observed them for that long.
+     * they differed, or this process has not observed them for that long without a gap. The caller makes sure that the view is
+     * recent enough.
      */
     public synchronized Optional<String> onlyVersion(String service, long spanMillis) {
         recordPresent();
@@ -47,9 +65,12 @@
 
     private void recordPresent() {
         long nowMillis = clock.millis();
-        present.byService()
-                .forEach((service, servers) -> servers.forEach(server -> lastSeenMillisByService
-                        .computeIfAbsent(service, name -> new HashMap<>())
-                        .put(server.softwareVersion(), nowMillis)));
+        present.byService().values().forEach(servers -> servers.forEach(server -> record(server, nowMillis)));
+    }
+
+    private void record(ServerEntry server, long nowMillis) {
+        lastSeenMillisByService
+                .computeIfAbsent(server.service(), name -> new HashMap<>())
+                .put(server.softwareVersion(), nowMillis);
     }
 }
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/request/StreamOrigins.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/request/StreamOrigins.java
@@ -26,7 +26,15 @@
     /** The service and the version of the software of the server that began a stream. */
     public record Origin(String service, String softwareVersion) {}
 
+    /** The other nodes. */
+    @FunctionalInterface
+    public interface Peers {
+        /** Completes with the origin of the stream that a caller's attempt began, if another node remembers it. */
+        CompletionStage<Optional<Origin>> originOf(String attemptId);
+    }
+
     private final RecordLog shared;
+    private final Peers peers;
     private final Executor executor;
     private final InputGuard guard = new InputGuard("stream_origin");
     private final Map<String, Origin> origins = new LinkedHashMap<>() {
@@ -39,8 +47,14 @@
     private long nextOffset;
     private Optional<CompletableFuture<Void>> readInFlight = Optional.empty();
 
-    public StreamOrigins(RecordLog shared, Executor executor) {
+    /**
+     * Creates an instance that remembers no stream.
+     *
+     * @param peers asks the other nodes for a stream of which the log has no record
+     */
+    public StreamOrigins(RecordLog shared, Peers peers, Executor executor) {
         this.shared = shared;
+        this.peers = peers;
         this.executor = executor;
     }
 
@@ -68,8 +82,25 @@
                     if (failure != null) {
                         log.info("event=stream_origins_not_read cause={}", failure.toString());
                     }
-                    return Optional.ofNullable(origins.get(attemptId));
-                });
+                    return remembered(attemptId);
+                })
+                .thenCompose(
+                        known -> known.isPresent() ? CompletableFuture.completedFuture(known) : askPeers(attemptId));
+    }
+
+    /** Returns the origin of a stream if this node knows it without asking. */
+    public Optional<Origin> remembered(String attemptId) {
+        return Optional.ofNullable(origins.get(attemptId));
+    }
+
+    private CompletionStage<Optional<Origin>> askPeers(String attemptId) {
+        return peers.originOf(attemptId)
+                .thenApplyAsync(
+                        origin -> {
+                            origin.ifPresent(found -> origins.put(attemptId, found));
+                            return origin;
+                        },
+                        executor);
     }
 
     private CompletableFuture<Void> startRead() {
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/BackendRegistryTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/BackendRegistryTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import org.agatehatch.api.fleet.PeerAddress;
@@ -13,11 +14,24 @@
 
 /** Guards against requests to servers that have left, and against the loss of servers in an outage of the store. */
 public final class BackendRegistryTest {
+    private final List<String> observed = new ArrayList<>();
     private VirtualTime time;
     private long sinceStoreRecoveryMillis;
     private FleetView view;
     private BackendRegistry registry;
 
+    private final class Observations implements BackendRegistry.Observer {
+        @Override
+        public void onEntry(ServerEntry entry) {
+            observed.add(entry.id() + ' ' + entry.startedAtMillis());
+        }
+
+        @Override
+        public void onGap() {
+            observed.add("gap");
+        }
+    }
+
     @BeforeMethod
     public void create() {
         time = new VirtualTime();
@@ -27,6 +41,7 @@
                 BackendRegistryTest::decode,
                 time.node(1),
                 () -> sinceStoreRecoveryMillis,
+                new Observations(),
                 published -> view = published);
         put("s1", "ready 1");
         put("s2", "ready 1");
@@ -179,4 +194,19 @@
         time.advance(10 * BackendRegistry.DISPUTE_MILLIS);
         assertEquals(servers(), List.of("s2"));
     }
+
+    // Guards against a version of the servers' software that comes and goes between two views without a trace.
+    @Test
+    public void servers_that_come_and_go_within_one_read_are_observed() {
+        observed.clear();
+        registry.onBatch(() -> {
+            put("s3", "ready 7");
+            registry.onRemoved("s3");
+        });
+        assertEquals(observed, List.of("s3 7"));
+        registry.onRemoved("never seen");
+        registry.onHistoryMissing();
+        registry.onNewEra(2);
+        assertEquals(observed, List.of("s3 7", "gap", "gap", "gap"));
+    }
 }
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/request/StreamOriginsTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/request/StreamOriginsTest.java
@@ -3,7 +3,9 @@
 import static org.testng.Assert.assertEquals;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -17,6 +19,7 @@
     private static final Origin OLD = new Origin("svc", "v1");
     private static final Origin NEW = new Origin("svc", "v2");
 
+    private final Map<String, Origin> knownToPeers = new HashMap<>();
     private FakeLog log;
 
     /** A log whose reads are answered on request, two records at a time. */
@@ -68,10 +71,16 @@
     @BeforeMethod
     public void create() {
         log = new FakeLog();
+        knownToPeers.clear();
     }
 
     private StreamOrigins node() {
-        return new StreamOrigins(log, Runnable::run);
+        return new StreamOrigins(
+                log, attemptId -> CompletableFuture.completedFuture(peerKnows(attemptId)), Runnable::run);
+    }
+
+    private Optional<Origin> peerKnows(String attemptId) {
+        return Optional.ofNullable(knownToPeers.get(attemptId));
     }
 
     private static Optional<Origin> origin(StreamOrigins node, String attemptId) {
@@ -134,4 +143,16 @@
         node().begun("c", NEW);
         assertEquals(origin(node, "c"), Optional.of(NEW));
     }
+
+    // Guards against a stream that is refused or guessed at because one of two nodes does not reach the store.
+    @Test
+    public void a_stream_without_a_record_is_looked_up_at_the_other_nodes() {
+        knownToPeers.put("a", NEW);
+        assertEquals(origin(node(), "a"), Optional.of(NEW));
+        log.down = true;
+        StreamOrigins cut = node();
+        assertEquals(origin(cut, "a"), Optional.of(NEW));
+        knownToPeers.clear();
+        assertEquals(origin(cut, "a"), Optional.of(NEW));
+    }
 }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
@@ -55,9 +55,11 @@
 import org.agatehatch.internal.process.RendezvousHash;
 import org.agatehatch.internal.process.ResidencyController;
 import org.agatehatch.internal.process.StateMessages;
+import org.agatehatch.internal.process.StreamOriginMessages;
 import org.agatehatch.internal.process.TopicFollower;
 import org.agatehatch.internal.process.TopicFollowerSettings;
 import org.agatehatch.internal.process.TopicMessages;
+import org.agatehatch.internal.process.TopicRelayCache;
 import org.agatehatch.internal.request.ChooserSettings;
 import org.agatehatch.internal.request.RequestPacer;
 import org.agatehatch.internal.request.ResidencyObservations;
@@ -130,6 +132,8 @@
     private final SoftwareVersions softwareVersions = new SoftwareVersions(clock);
     private final RequestPacer pacer = new RequestPacer(clock);
     private final LimitCoordinator limitCoordinator;
+    private final StreamOriginExchange streamOriginExchange;
+    private final StreamOrigins streamOrigins;
     private final CrashEvidenceExchange crashEvidence;
     private final ResidencyController residencyController;
     private final ResidencyClient residencyClient;
@@ -154,14 +158,16 @@
                 loop, settings.self(), () -> nodes, settings.peerPort(), crashingParts, random, clock);
         limitCoordinator =
                 new LimitCoordinator(loop, settings.self(), () -> nodes, settings.peerPort(), serverLimits, pacer);
+        streamOriginExchange = new StreamOriginExchange(loop, settings.self(), () -> nodes, settings.peerPort());
         peerTransport = new TcpPeerTransport(group, this::onPeerMessage);
         platform = platformFactory.apply(new PooledHttpClient(loop, storePool));
+        streamOrigins = new StreamOrigins(platform.streamOriginLog(), streamOriginExchange::find, loop);
         configTopic = newRelayedTopic(CONFIG_TOPIC, platform.configTopic(), Arrays::equals);
         serverTopic = newRelayedTopic(SERVER_TOPIC, platform.serverTopic(), this::describesSameServer);
         configFollower =
                 newFollower(CONFIG_TOPIC, configTopic, TopicFollowerSettings.LONG_POLLING, new ConfigListener());
-        registry =
-                new BackendRegistry(platform.serverDecoder(), control, this::sinceStoreRegainedMillis, this::onFleet);
+        registry = new BackendRegistry(
+                platform.serverDecoder(), control, this::sinceStoreRegainedMillis, softwareVersions, this::onFleet);
         peerBootstrap =
                 new PeerStateBootstrap(otherSeedNodes(settings), control, this::hasCompleteState, this::onPeerState);
         serverFollower = newFollower(
@@ -293,6 +299,7 @@
         loop.execute(() -> residencyClient.start(peerTransport));
         loop.execute(() -> crashEvidence.start(peerTransport));
         loop.execute(() -> limitCoordinator.start(peerTransport));
+        loop.execute(() -> streamOriginExchange.start(peerTransport));
         control.execute(() -> peerBootstrap.start(peerTransport));
         new SimpleHttpServer(group, clock, path -> new SimpleHttpServer.Response(200, "text/plain", metrics.scrape()))
                 .bind(listeners.metricsAddress());
@@ -373,8 +380,9 @@
                 serverLimits,
                 availability,
                 limitCoordinator,
-                new StreamOrigins(platform.streamOriginLog(), loop),
+                streamOrigins,
                 softwareVersions,
+                this::knowsServersAsOf,
                 shutdown::refusingRequests,
                 metrics,
                 ExchangeTimeouts.DEFAULT);
@@ -452,10 +460,17 @@
                         control::execute);
             case CrashEvidence.FULL_EXCHANGE_TYPE, CrashEvidence.RECENT_EXCHANGE_TYPE -> crashEvidence.receive(message);
             case LimitMessages.NOTICE_TYPE, LimitMessages.PERMIT_REQUEST_TYPE -> limitCoordinator.receive(message);
+            case StreamOriginMessages.QUESTION_TYPE -> streamOriginExchange.receive(message, streamOrigins::remembered);
             default -> residencyClient.receive(message);
         };
     }
 
+    /** What a relay answers may be as old as relays may be. */
+    private boolean knowsServersAsOf(long nanos) {
+        long relayAgeMillis = RelaySelection.usesRelays(nodes) ? TopicRelayCache.MAX_AGE_MILLIS : 0;
+        return serverFollower.isCurrentAsOf(nanos + TimeUnit.MILLISECONDS.toNanos(relayAgeMillis));
+    }
+
     private TopicMessages.Response answerTopicQuestion(TopicMessages.Request question) {
         return switch (question.topic()) {
             case CONFIG_TOPIC -> configTopic.respond(question);
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/PeerStateBootstrap.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/PeerStateBootstrap.java
@@ -96,6 +96,11 @@
                 listener.onRemoved(key);
             }
 
+            @Override
+            public void onHistoryMissing() {
+                listener.onHistoryMissing();
+            }
+
             @Override
             public void onNewEra(long era) {
                 listener.onNewEra(era);
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Exchange.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Exchange.java
@@ -135,7 +135,7 @@
         deadlineTimer =
                 Optional.of(context.loop().schedule(this::onDeadline, remainingMillis(), TimeUnit.MILLISECONDS));
         if (route.streaming() && route.resumable() && metadata.takeUp().isPresent()) {
-            new StreamTakeUp(context, route, service).resolve(metadata, this::onOrigin);
+            new StreamTakeUp(context, route, service, request.arrivedNanos()).resolve(metadata, this::onOrigin);
             return;
         }
         context.retryBudget().countRequest(service);
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ExchangeContext.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ExchangeContext.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongPredicate;
 import java.util.random.RandomGenerator;
 import org.agatehatch.api.time.MonotonicClock;
 import org.agatehatch.gateway.HeaderCodec;
@@ -19,6 +20,7 @@
 /**
  * Objects shared by all exchanges of a process.
  *
+ * @param serverViewAsOf whether this node knows all backend servers that the store knew at a time of the clock, in nanoseconds
  * @param refusingRequests whether new requests are refused because the process is shutting down
  */
 public record ExchangeContext(
@@ -39,6 +41,7 @@
         PermitRequester permitRequester,
         StreamOrigins streamOrigins,
         SoftwareVersions softwareVersions,
+        LongPredicate serverViewAsOf,
         BooleanSupplier refusingRequests,
         GatewayMetrics metrics,
         ExchangeTimeouts timeouts) {}
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/StreamTakeUp.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/StreamTakeUp.java
@@ -1,6 +1,7 @@
 package org.agatehatch.gateway.request;
 
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.agatehatch.api.fleet.RouteSpec;
 import org.agatehatch.gateway.HeaderCodec;
@@ -13,6 +14,12 @@
  * together, and servers don't check it, so that a stream whose version is not known goes nowhere.
  */
 final class StreamTakeUp {
+    /** Interval at which it is checked whether this node's view of the servers has become recent enough. */
+    private static final long VIEW_CHECK_MILLIS = 50;
+
+    /** Longest wait for a recent view; a node in touch with the store gets one about once a second. */
+    private static final long MAX_VIEW_WAIT_MILLIS = 2_000;
+
     /** Time after a server has left this node's view in which another node may still begin a stream there. */
     private static final long VIEW_LAG_MILLIS = 3_000;
 
@@ -21,16 +28,19 @@
     private final ExchangeContext context;
     private final RouteSpec route;
     private final String service;
+    private final long arrivedNanos;
 
     /**
      * Creates the search for a request.
      *
      * @param service service of the stream if it is not on record
+     * @param arrivedNanos time of the request's arrival
      */
-    StreamTakeUp(ExchangeContext context, RouteSpec route, String service) {
+    StreamTakeUp(ExchangeContext context, RouteSpec route, String service, long arrivedNanos) {
         this.context = context;
         this.route = route;
         this.service = service;
+        this.arrivedNanos = arrivedNanos;
     }
 
     /** Passes on the origin of the stream on the traffic thread; empty if it is not known. */
@@ -40,13 +50,41 @@
                 .originOf(originAttemptId)
                 .thenAcceptAsync(
                         known -> {
-                            Optional<StreamOrigins.Origin> origin = known.or(this::onlyPossibleOrigin);
-                            record(request.attemptId(), originAttemptId, known.isPresent(), origin);
-                            listener.accept(origin);
+                            if (known.isPresent()) {
+                                finish(request, known, true, listener);
+                            } else {
+                                long nowMillis = context.clock().millis();
+                                awaitRecentView(request, nowMillis + MAX_VIEW_WAIT_MILLIS, listener);
+                            }
                         },
                         context.loop());
     }
 
+    /** The stream may have begun at a server that this node does not know yet, until its view is newer than the request. */
+    private void awaitRecentView(
+            HeaderCodec.RequestMetadata request, long untilMillis, Consumer<Optional<StreamOrigins.Origin>> listener) {
+        if (context.serverViewAsOf().test(arrivedNanos)) {
+            finish(request, onlyPossibleOrigin(), false, listener);
+        } else if (context.clock().millis() >= untilMillis) {
+            finish(request, Optional.empty(), false, listener);
+        } else {
+            context.loop()
+                    .schedule(
+                            () -> awaitRecentView(request, untilMillis, listener),
+                            VIEW_CHECK_MILLIS,
+                            TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void finish(
+            HeaderCodec.RequestMetadata request,
+            Optional<StreamOrigins.Origin> origin,
+            boolean onRecord,
+            Consumer<Optional<StreamOrigins.Origin>> listener) {
+        record(request.attemptId(), request.takeUp().orElseThrow().originAttemptId(), onRecord, origin);
+        listener.accept(origin);
+    }
+
     private void record(
             String attemptId, String originAttemptId, boolean onRecord, Optional<StreamOrigins.Origin> origin) {
         String source = onRecord ? "recorded" : origin.isPresent() ? "only_version" : "unknown";
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestGateway.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestGateway.java
@@ -9,6 +9,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -55,6 +56,7 @@
     final int port;
     volatile boolean leaving;
     volatile boolean refusing;
+    volatile boolean viewIsRecent = true;
     final ActiveConfig config = new ActiveConfig();
     final GatewayMetrics metrics = new GatewayMetrics();
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -123,8 +125,10 @@
                 availability,
                 (process, limitPerSecond, maxDelayMillis) ->
                         CompletableFuture.completedFuture(new RequestPacer.Permit(true, 0)),
-                new StreamOrigins(streamOriginLog, loop),
+                new StreamOrigins(
+                        streamOriginLog, attemptId -> CompletableFuture.completedFuture(Optional.empty()), loop),
                 softwareVersions,
+                nanos -> viewIsRecent,
                 () -> refusing,
                 metrics,
                 ExchangeTimeouts.DEFAULT);
