--- a/agatehatch-core/src/main/java/org/agatehatch/api/fleet/RouteSpec.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/api/fleet/RouteSpec.java
@@ -27,6 +27,12 @@
         int maxAttempts,
         boolean resumable,
         long maxPauseMillis) {
+    /** Callers of the users' platform leave a stream, also one that has not begun, after the longest of these gaps. */
+    private static final long MIN_PATIENCE_MILLIS = 2_000;
+
+    private static final long PATIENCE_TARGETS = 4;
+    private static final long PATIENCE_PAUSES = 8;
+
     public RouteSpec {
         services = List.copyOf(services);
     }
@@ -40,4 +46,13 @@
     public boolean streaming() {
         return kind == RequestKind.STREAM;
     }
+
+    /** Returns the time after which callers give up an answer of which nothing has arrived. */
+    public long patienceMillis() {
+        if (!streaming()) {
+            return timeoutMillis;
+        }
+        long byTarget = Math.max(PATIENCE_TARGETS * targetMillis, PATIENCE_PAUSES * maxPauseMillis);
+        return Math.min(timeoutMillis, Math.max(MIN_PATIENCE_MILLIS, byTarget));
+    }
 }
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/DemandMeter.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/DemandMeter.java
@@ -4,14 +4,20 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.ToIntFunction;
 import org.agatehatch.api.fleet.GenerationRequest;
 import org.agatehatch.api.fleet.PromptPart;
 import org.agatehatch.api.time.MonotonicClock;
 
 /** Accumulates the demand of this node's requests for models until it is reported. Not thread-safe. */
 public final class DemandMeter {
-    /** Runner time for one output token when the runner generates the tokens of a whole batch at once. */
-    private static final double MILLIS_PER_OUTPUT_TOKEN = 0.35;
+    /** Time of one decoding step, which generates a token for each request of the batch; the data sheets state 5.05 ms and more. */
+    private static final double STEP_MILLIS = 5.5;
+
+    /** Share of the maximum output that answers are assumed to have until some have been seen. */
+    private static final double INITIAL_OUTPUT_SHARE = 0.5;
+
+    private static final double OUTPUT_SHARE_SMOOTHING = 0.03;
 
     /** Runner time per second below which a model's averages are dropped. */
     private static final double MIN_RETAINED_WORK_MILLIS_PER_SECOND = 0.5;
@@ -22,12 +28,20 @@
     private record DemandKey(String service, String model, String adapter) {}
 
     private final double prefillTokensPerMilli;
+    private final ToIntFunction<String> slots;
     private final MonotonicClock clock;
+    private double outputShare = INITIAL_OUTPUT_SHARE;
     private final Map<DemandKey, Double> workMillis = new HashMap<>();
     private final Map<DemandKey, Integer> adaptersInUse = new HashMap<>();
     private final Map<DemandKey, DemandRate> rateByModel = new HashMap<>();
 
-    public DemandMeter(double prefillTokensPerMilli, MonotonicClock clock) {
+    /**
+     * Creates a meter without demand.
+     *
+     * @param slots returns the number of requests that a runner of a service processes at once
+     */
+    public DemandMeter(double prefillTokensPerMilli, ToIntFunction<String> slots, MonotonicClock clock) {
+        this.slots = slots;
         this.prefillTokensPerMilli = prefillTokensPerMilli;
         this.clock = clock;
     }
@@ -38,7 +52,7 @@
      * @param uncachedTokens prompt tokens that are probably not in the runner's prefix cache
      */
     public void add(String service, GenerationRequest request, int uncachedTokens) {
-        addWork(service, request, workMillis(request, uncachedTokens));
+        addWork(service, request, workMillis(service, request, uncachedTokens));
     }
 
     /** Adds a refused request with half its work, because its caller usually repeats it once. */
@@ -47,11 +61,17 @@
         int lastPartTokens = parts.isEmpty()
                 ? request.promptTokens()
                 : parts.get(parts.size() - 1).tokens();
-        addWork(service, request, REFUSED_REQUEST_WEIGHT * workMillis(request, lastPartTokens));
+        addWork(service, request, REFUSED_REQUEST_WEIGHT * workMillis(service, request, lastPartTokens));
     }
 
-    private double workMillis(GenerationRequest request, int uncachedTokens) {
-        return uncachedTokens / prefillTokensPerMilli + request.maxOutputTokens() * MILLIS_PER_OUTPUT_TOKEN;
+    /**
+     * Returns the share of a runner's time that a request takes: a runner reads one prompt at a time, and has a request for its
+     * whole duration in one of its slots. The scarcer of both counts.
+     */
+    private double workMillis(String service, GenerationRequest request, int uncachedTokens) {
+        double prefillMillis = uncachedTokens / prefillTokensPerMilli;
+        double durationMillis = prefillMillis + request.maxOutputTokens() * STEP_MILLIS * outputShare;
+        return Math.max(prefillMillis, durationMillis / Math.max(1, slots.applyAsInt(service)));
     }
 
     private void addWork(String service, GenerationRequest request, double work) {
@@ -61,6 +81,18 @@
                 .add(work);
     }
 
+    /**
+     * Records a complete answer, from which the usual share of the maximum output follows.
+     *
+     * @param outputMillis time from the first to the last event
+     */
+    public void answered(GenerationRequest request, long outputMillis) {
+        double maxMillis = request.maxOutputTokens() * STEP_MILLIS;
+        if (maxMillis > 0) {
+            outputShare += OUTPUT_SHARE_SMOOTHING * (Math.min(1, outputMillis / maxMillis) - outputShare);
+        }
+    }
+
     /** Records that a request was sent to a runner; its adapter is in use until {@link #requestEnded}. */
     public void requestSent(String service, GenerationRequest request) {
         if (!request.adapter().isEmpty()) {
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/PlacementLease.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/PlacementLease.java
@@ -4,6 +4,8 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletionStage;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.agatehatch.api.fleet.KeyedTopic;
@@ -92,6 +94,10 @@
     private boolean readInFlight;
     private boolean membershipChangedSinceRead;
     private boolean everRead;
+    private OptionalLong unansweredSinceNanos = OptionalLong.empty();
+    private long resignedToken = -1;
+    private long resignedNanos;
+    private long inheritedToken = -1;
     private boolean readFailing;
 
     /**
@@ -140,14 +146,16 @@
         read();
     }
 
-    /** Reads the lease again, because the node that was assumed to hold it does not. */
-    public void onHolderMismatch() {
+    /** Reads the lease again, because another node says that it has taken it over. */
+    public void onHolderChanged() {
+        // A read in flight may have begun before the change.
+        membershipChangedSinceRead = true;
         read();
     }
 
     /** Returns this node's present grant to send orders; empty if it has none. */
     public Optional<PlacementGrant> currentGrant() {
-        if (!isHolder() || clock.nanos() - actFromNanos < 0) {
+        if (!isHolder() || hasResigned() || clock.nanos() - actFromNanos < 0) {
             return Optional.empty();
         }
         boolean confirmed = isConfirmed();
@@ -157,6 +165,58 @@
                 : Optional.empty();
     }
 
+    private boolean hasResigned() {
+        return lease.isPresent() && lease.get().token() == resignedToken;
+    }
+
+    /** Returns for how long reads of the store have gone unanswered or failed; 0 if the last one succeeded. */
+    long unansweredMillis() {
+        return unansweredSinceNanos.isPresent() ? millisSince(unansweredSinceNanos.getAsLong()) : 0;
+    }
+
+    /** Returns the token with which this node holds the lease; empty if it does not hold it, or has given it up. */
+    OptionalLong heldToken() {
+        return isHolder() && !hasResigned()
+                ? OptionalLong.of(lease.orElseThrow().token())
+                : OptionalLong.empty();
+    }
+
+    /** Gives this node's grant up for good if it still holds the lease with a token, and returns whether it does. */
+    boolean resign(long token) {
+        if (heldToken().isEmpty() || heldToken().getAsLong() != token) {
+            return false;
+        }
+        resignedToken = token;
+        resignedNanos = clock.nanos();
+        return true;
+    }
+
+    /** Completes with whether this node reaches the store and finds a member's lease with a token there. */
+    CompletionStage<Boolean> isUnchanged(String member, long token) {
+        return topic.snapshot()
+                .handle((snapshot, failure) -> failure == null
+                        && membershipValid.getAsBoolean()
+                        && record(snapshot).equals(Optional.of(new LeaseRecord(member, token))));
+    }
+
+    /** Takes the lease over from a holder that has given it up, and acts as soon as it is written. */
+    void takeOverResigned(String member, long token) {
+        inheritedToken = token;
+        long requestedNanos = clock.nanos();
+        topic.snapshot()
+                .whenComplete((snapshot, failure) -> control.execute(() -> {
+                    if (failure != null) {
+                        log.info("event=claim_not_read cause={}", failure.toString());
+                        return;
+                    }
+                    onRead(snapshot, requestedNanos);
+                    boolean unchanged = lease.equals(Optional.of(new LeaseRecord(member, token)));
+                    if (unchanged && snapshot.era() == era && membershipValid.getAsBoolean()) {
+                        append(snapshot.endOffset());
+                    }
+                }));
+    }
+
     private boolean isConfirmed() {
         boolean recent = everRead && millisSince(lastReadNanos) < MAX_CHECK_AGE_MILLIS;
         return recent && membershipValid.getAsBoolean();
@@ -221,6 +281,9 @@
             return;
         }
         readInFlight = true;
+        if (unansweredSinceNanos.isEmpty()) {
+            unansweredSinceNanos = OptionalLong.of(clock.nanos());
+        }
         membershipChangedSinceRead = false;
         long requestedNanos = clock.nanos();
         topic.snapshot()
@@ -231,20 +294,25 @@
                         log.info("event=claim_not_read cause={}", failure.toString());
                         return;
                     }
+                    unansweredSinceNanos = OptionalLong.empty();
                     onRead(snapshot, requestedNanos);
                 }));
     }
 
+    private static Optional<LeaseRecord> record(KeyedTopic.Snapshot snapshot) {
+        return snapshot.entries().stream()
+                .filter(entry -> entry.key().equals(KEY))
+                .findFirst()
+                .flatMap(KeyedTopic.Entry::value)
+                .flatMap(LeaseRecord::decode);
+    }
+
     private void onRead(KeyedTopic.Snapshot snapshot, long requestedNanos) {
         if (snapshot.era() < era) {
             return;
         }
         era = snapshot.era();
-        Optional<LeaseRecord> found = snapshot.entries().stream()
-                .filter(entry -> entry.key().equals(KEY))
-                .findFirst()
-                .flatMap(KeyedTopic.Entry::value)
-                .flatMap(LeaseRecord::decode);
+        Optional<LeaseRecord> found = record(snapshot);
         long foundToken = found.map(LeaseRecord::token).orElse(0L);
         long knownToken = lease.map(LeaseRecord::token).orElse(0L);
         outdated = found.isEmpty() || found.get().era() != era;
@@ -256,6 +324,11 @@
             updateLease(found);
             everRead = true;
             lastReadNanos = requestedNanos;
+            if (hasResigned() && isHolder() && millisSince(resignedNanos) >= RENEWAL_GRACE_MILLIS) {
+                // The node to which the lease was handed over has not written it.
+                append(snapshot.endOffset());
+                return;
+            }
             if (holderLeft() && membershipValid.getAsBoolean()) {
                 scheduleTakeOver(snapshot.endOffset(), 0);
             }
@@ -283,7 +356,8 @@
                 isHolder() && (lease.map(LeaseRecord::era).equals(found.map(LeaseRecord::era)) || isConfirmed());
         if (own && !heldBefore) {
             // Another node may have acted until now, whether the take-over was confirmed or a read shows it.
-            actFromNanos = clock.nanos() + TAKEOVER_WAIT_MILLIS * 1_000_000;
+            boolean inherited = inheritedToken >= 0 && found.get().token() == inheritedToken + 1;
+            actFromNanos = clock.nanos() + (inherited ? 0 : TAKEOVER_WAIT_MILLIS * 1_000_000);
         }
         lease = found;
         log.info(
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/ResidencyController.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/ResidencyController.java
@@ -67,9 +67,21 @@
     /** Time after which a runner is no longer reserved for the model for which it makes room. */
     private static final long RESERVATION_TIMEOUT_MILLIS = 4_000;
 
+    /** Usual time until the last request of one of a runner's adapters has ended, so that its slot can be used. */
+    private static final long SLOT_WAIT_MILLIS = 250;
+
+    /** Margin on a node's report interval after which an adapter that its reports did not name is not in use. */
+    private static final long ADAPTER_REPORT_DELAY_MILLIS = 150;
+
     /** Delay before an adapter order is sent again to a runner that executes another order. */
     private static final long CONFLICT_RETRY_MILLIS = 100;
 
+    /** Time for which a load is sent again to a runner that still unloads another model; afterwards its report is read. */
+    private static final long UNLOAD_TIMEOUT_MILLIS = 3_000;
+
+    /** Time for which a new holder waits for the reports of most nodes, without which it would take all models for idle. */
+    private static final long FIRST_REPORTS_MILLIS = 800;
+
     /** Margin on an order's expected duration before the runner's report is read to find out whether it is done. */
     private static final long LOAD_SLACK_MILLIS = 100;
 
@@ -89,6 +101,7 @@
     private final Map<String, Long> lastReportMillisByNode = new HashMap<>();
     private final Map<String, TimedChange> recentChanges = new LinkedHashMap<>();
     private boolean active;
+    private long activeSinceMillis;
     private long fencedToken = -1;
     private long lastPlanMillis;
 
@@ -164,8 +177,8 @@
         if (usableGrant().isEmpty()) {
             return CompletableFuture.completedFuture(ResidencyMessages.Reply.UNAVAILABLE);
         }
-        demand.addUnservedRequest(request.service(), request.model(), UNSERVED_REQUEST_WORK_MILLIS);
         if (request.adapter().isEmpty()) {
+            demand.addUnservedRequest(request.service(), request.model(), UNSERVED_REQUEST_WORK_MILLIS);
             if (clock.millis() - lastPlanMillis >= MIN_ON_DEMAND_PLANNING_INTERVAL_MILLIS) {
                 planNow();
             }
@@ -232,14 +245,14 @@
                         new ResidencyMessages.Reply("", adapterReadyInMillis(serving))));
     }
 
-    /** Returns the expected time until a busy runner can load an adapter; negative if no runner is busy. */
+    /** Returns the expected time until a busy runner can load an adapter, or a slot is free; negative if no runner serves the model. */
     private long adapterReadyInMillis(List<OrderQueue> serving) {
         long nowMillis = clock.millis();
         return serving.stream()
                 .filter(queue -> queue.ledger.busy())
                 .mapToLong(queue -> Math.max(CONFLICT_RETRY_MILLIS, queue.ledger.busyUntilMillis() - nowMillis))
                 .min()
-                .orElse(-1);
+                .orElse(serving.isEmpty() ? -1 : SLOT_WAIT_MILLIS);
     }
 
     private Optional<PlacementGrant> usableGrant() {
@@ -270,6 +283,7 @@
             // The orders and loads of the previous holder are not known to this node.
             orderQueues.clear();
             storeLoadLimiter.clear();
+            activeSinceMillis = clock.millis();
         }
         active = mayAct;
         lastPlanMillis = clock.millis();
@@ -277,6 +291,9 @@
             return;
         }
         refreshQueues();
+        if (clock.millis() - activeSinceMillis < FIRST_REPORTS_MILLIS && !majorityReports()) {
+            return;
+        }
         for (Map.Entry<String, ServiceSpec> service : config.get().services().entrySet()) {
             service.getValue().engine().ifPresent(engine -> planService(service.getKey(), engine));
         }
@@ -294,10 +311,12 @@
             return;
         }
         Map<String, ResidencyPlanner.WorkRate> workByModel = new HashMap<>();
+        double totalPerSecond = demand.totalPerSecond(service);
         for (String model : engine.models().keySet()) {
-            workByModel.put(model, demand.workRate(service, model));
+            workByModel.put(model, demand.workRate(service, model, totalPerSecond));
         }
-        planner.plan(engine, runners, workByModel, allowedStoreLoads()).forEach(planned -> execute(engine, planned));
+        planner.plan(engine, runners, workByModel, allowedStoreLoads(), demand.isKnown())
+                .forEach(planned -> execute(engine, planned));
     }
 
     /** Returns 0 while the grant is not confirmed, because another node may be using up the weight store's limit. */
@@ -364,8 +383,17 @@
         private boolean reportInFlight;
         private long lastReportReadMillis = Long.MIN_VALUE / 2;
 
+        /**
+         * An order that waits for its turn.
+         *
+         * @param followsUnload whether the order is a load that the runner accepts once an unload in progress is carried out
+         */
         private record QueuedOrder(
-                EngineSpec engine, ResidencyOrder order, CompletableFuture<Boolean> result, long expiresAtMillis) {}
+                EngineSpec engine,
+                ResidencyOrder order,
+                boolean followsUnload,
+                CompletableFuture<Boolean> result,
+                long expiresAtMillis) {}
 
         private OrderQueue(ServerEntry entry) {
             this.entry = entry;
@@ -424,6 +452,9 @@
                         }
                         onReport(report);
                         sendNext();
+                        if (ledger.busy()) {
+                            control.schedule(REPORT_RETRY_MILLIS, this::refreshReport);
+                        }
                     }));
         }
 
@@ -474,7 +505,8 @@
         private Optional<ResidencyOrder> leastRecentlyUsedAdapter() {
             ResidencyOrder candidate = null;
             // Each report names the adapters in use, so an adapter that no report names for longer than that is unused.
-            long lastUsedBeforeMillis = clock.millis() - ReportIntervals.missedAfterMillis(nodeCount.getAsInt());
+            long lastUsedBeforeMillis =
+                    clock.millis() - ReportIntervals.intervalMillis(nodeCount.getAsInt()) - ADAPTER_REPORT_DELAY_MILLIS;
             for (String model : ledger.models()) {
                 for (String adapter : ledger.adapters(model)) {
                     long usedMillis = demand.adapterLastUsedMillis(model, adapter);
@@ -489,10 +521,44 @@
         }
 
         private void submit(EngineSpec engine, ResidencyOrder order, CompletableFuture<Boolean> done) {
-            queue.add(new QueuedOrder(engine, order, done, clock.millis() + ORDER_QUEUE_TIMEOUT_MILLIS));
+            queue.add(new QueuedOrder(engine, order, false, done, clock.millis() + ORDER_QUEUE_TIMEOUT_MILLIS));
             sendNext();
         }
 
+        /**
+         * Sends the load for which an unload makes room, again and again until the runner accepts it, since its report would
+         * show the end of the unload some hundred milliseconds late.
+         */
+        private void loadAfterUnload(EngineSpec engine) {
+            String model = reservedFor();
+            ModelSpec spec = engine.models().get(model);
+            boolean possible = spec != null
+                    && ledger.freeMbAfterUnload(engine) >= planner.neededMb(spec)
+                    && (ledger.hasLocalCopy(model) || allowedStoreLoads() > 0);
+            if (!possible) {
+                return;
+            }
+            if (!ledger.hasLocalCopy(model)) {
+                storeLoadLimiter.consume();
+            }
+            QueuedOrder load = new QueuedOrder(
+                    engine,
+                    new ResidencyOrder(ResidencyOrder.Action.LOAD, model, ""),
+                    true,
+                    new CompletableFuture<>(),
+                    clock.millis() + UNLOAD_TIMEOUT_MILLIS);
+            sendAgainLater(load);
+        }
+
+        private void sendAgainLater(QueuedOrder task) {
+            orderInFlight = true;
+            control.schedule(CONFLICT_RETRY_MILLIS, () -> {
+                orderInFlight = false;
+                queue.addFirst(task);
+                sendNext();
+            });
+        }
+
         private void sendNext() {
             expireQueued();
             Optional<PlacementGrant> usable = usableGrant();
@@ -500,7 +566,7 @@
                 return;
             }
             QueuedOrder task = queue.poll();
-            if (!ledger.fits(task.order(), task.engine())) {
+            if (!task.followsUnload() && !ledger.fits(task.order(), task.engine())) {
                 log.info("event=order_withheld runner={} order=\"{}\" reason=no_room", entry.id(), task.order());
                 task.result().complete(false);
                 sendNext();
@@ -508,6 +574,7 @@
             }
             boolean storeLoad = task.order().action() == ResidencyOrder.Action.LOAD
                     && !task.order().forAdapter()
+                    && !task.followsUnload()
                     && !ledger.hasLocalCopy(task.order().model());
             if (storeLoad) {
                 storeLoadLimiter.consume();
@@ -569,20 +636,16 @@
             sendNext();
         }
 
-        /** Retries an adapter order: a runner that executes another order refuses it, and its count of orders stays the same. */
+        /** Retries an order: a runner that executes another one refuses it, and its count of orders stays the same. */
         private void onConflict(QueuedOrder task) {
-            boolean mayRetry = task.order().forAdapter() && clock.millis() < task.expiresAtMillis();
+            boolean mayRetry = (task.order().forAdapter() || task.followsUnload())
+                    && clock.millis() + CONFLICT_RETRY_MILLIS < task.expiresAtMillis();
             if (!mayRetry) {
                 ledger.markUnknown();
                 task.result().complete(false);
                 return;
             }
-            orderInFlight = true;
-            control.schedule(CONFLICT_RETRY_MILLIS, () -> {
-                orderInFlight = false;
-                queue.addFirst(task);
-                sendNext();
-            });
+            sendAgainLater(task);
         }
 
         private void onAccepted(QueuedOrder task) {
@@ -591,7 +654,14 @@
             double seconds = order.action() == ResidencyOrder.Action.LOAD && !order.forAdapter()
                     ? (ledger.hasLocalCopy(order.model()) ? model.diskSeconds() : model.loadSeconds())
                     : 0;
-            ledger.onAccepted(order, clock.millis() + (long) (seconds * 1_000) + LOAD_SLACK_MILLIS);
+            long doneInMillis = (long) (seconds * 1_000) + LOAD_SLACK_MILLIS;
+            ledger.onAccepted(order, clock.millis() + doneInMillis);
+            if (!order.forAdapter()) {
+                control.schedule(doneInMillis, this::refreshReport);
+                if (order.action() == ResidencyOrder.Action.UNLOAD) {
+                    loadAfterUnload(task.engine());
+                }
+            }
             // The runner refuses requests for an adapter until it is loaded.
             control.schedule(ADAPTER_LOAD_MILLIS, () -> task.result().complete(true));
         }
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/ResidencyPlanner.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/ResidencyPlanner.java
@@ -5,51 +5,54 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.agatehatch.api.fleet.EngineSpec;
+import org.agatehatch.api.fleet.ModelSpec;
 import org.agatehatch.api.fleet.ResidencyOrder;
 
 /**
- * Plans which runners load or unload which models. A model gets replicas in proportion to its demand, and each model keeps
- * at least one replica while there is room. The last replica of an idle model may be unloaded for a model under pressure; its
- * runner keeps a local copy of the weights and loads it again within a second. The plan depends on the input only.
+ * Plans which runners load or unload which models. Each copy of a model has a value ({@link CopyValue}); a copy is loaded where
+ * it is worth more than what has to make room for it and the move itself. Copies that are no longer needed go first. The last
+ * copy of a model is compared by the demand over a longer time, so that rarely requested models do not displace each other. The
+ * plan depends on the input only.
  */
 public final class ResidencyPlanner {
     /**
      * Thresholds of the planner. Work is in milliseconds of runner time per second.
      *
-     * @param workMillisPerRunner work for which a model gets one more replica
-     * @param surplusFactor fraction of {@code workMillisPerRunner} that each remaining replica's work must not exceed for a
-     *     replica to count as surplus
+     * @param workMillisPerCopy work that one copy serves in time; the rest of a runner's time is headroom for bursts
+     * @param adapterSlotShare share of a runner's adapter slots that one of its models can expect to use
      * @param adapterReserveMb memory of a runner that is reserved for adapters
-     * @param activeWorkMillis work from which a model counts as requested
-     * @param idleWorkMillis work up to which a model counts as idle
-     * @param missingCopyPenaltyMillis cost in work of making room on a runner without a local copy of the weights
-     * @param pressureFactor multiple of {@code workMillisPerRunner} per replica above which a model may displace the last
-     *     replica of an idle one
-     * @param busyWorkMillis work from which a model may displace the last replicas of models up to {@code idleWorkMillis};
-     *     below it, only of models up to {@code residualWorkMillis}
-     * @param residualWorkMillis work rate that remains of one request after about 15 s
+     * @param busyWorkMillis sustained work from which the last copy of a model is valued by its present demand
+     * @param minGainMillis work that a move has to gain beyond what it displaces
+     * @param minGainRatio multiple of the displaced value that another copy of a model has to be worth
+     * @param minLastCopyRatio multiple of the value of a displaced last copy that a copy has to be worth
+     * @param minFreeGainMillis work that another copy has to gain where it displaces nothing
+     * @param horizonSeconds time over which what a move gains is compared with what it costs
+     * @param drainSeconds usual time until the last request of a model in use has ended, which an unload waits for
+     * @param inUseWorkMillis work of a copy from which its model counts as in use
      * @param makeRoomMillis time that it takes to make room on another runner
+     * @param loadLeadMillis time between the order to make room and the load, in which the weight store allows further loads
      */
     public record Settings(
-            double workMillisPerRunner,
-            double surplusFactor,
+            double workMillisPerCopy,
+            double adapterSlotShare,
             double adapterReserveMb,
-            double activeWorkMillis,
-            double idleWorkMillis,
-            double missingCopyPenaltyMillis,
-            double pressureFactor,
             double busyWorkMillis,
-            double residualWorkMillis,
-            long makeRoomMillis) {
-        /**
-         * Work is an estimate of prompt and output time; a runner with 900 ms of it per second queues requests for
-         * seconds.
-         */
-        public static final Settings DEFAULT = new Settings(420, 0.5, 530, 0.5, 3, 150, 2.6, 40, 0.4, 1_000);
+            double minGainMillis,
+            double minGainRatio,
+            double minLastCopyRatio,
+            double minFreeGainMillis,
+            double horizonSeconds,
+            double drainSeconds,
+            double inUseWorkMillis,
+            long makeRoomMillis,
+            long loadLeadMillis) {
+        /** A move keeps a runner from other orders for about two seconds, in which some requests of its models are late. */
+        public static final Settings DEFAULT = new Settings(700, 0.75, 530, 40, 12, 1.3, 2, 3, 6, 2.5, 10, 1_000, 800);
     }
 
     /**
@@ -72,10 +75,14 @@
     /**
      * Demand for a model, in milliseconds of runner time per second.
      *
+     * @param expected demand that is expected when a move that begins now is done
+     * @param recent demand over some seconds
      * @param sustained the part of the demand that has lasted for some seconds
+     * @param longRun demand over the time after which a rarely requested model is requested again
+     * @param activeAdapters number of adapters that requests have used recently
      */
-    record WorkRate(double current, double sustained) {
-        static final WorkRate NONE = new WorkRate(0, 0);
+    record WorkRate(double expected, double recent, double sustained, double longRun, int activeAdapters) {
+        static final WorkRate NONE = new WorkRate(0, 0, 0, 0, 0);
     }
 
     /**
@@ -85,6 +92,13 @@
      */
     record PlannedOrder(String runner, ResidencyOrder order, String makesRoomFor, String reason) {}
 
+    /**
+     * A way to add a copy of a model on a runner.
+     *
+     * @param net work that is gained until the horizon beyond what is lost
+     */
+    private record Move(Runner runner, String model, List<String> victims, double net) {}
+
     private final Settings settings;
 
     ResidencyPlanner(Settings settings) {
@@ -92,35 +106,50 @@
     }
 
     /**
-     * Returns the orders to send now, at most one for each runner.
+     * Returns the orders to send now, at most one for each runner, the most valuable first.
      *
      * @param workByModel demand for each model
      * @param maxStoreLoads maximum number of loads from the weight store; loads of a runner's local copies are not limited
+     * @param mayDisplace whether the demand has been seen for long enough to tell which copies are not needed
      */
     List<PlannedOrder> plan(
-            EngineSpec engine, List<Runner> runners, Map<String, WorkRate> workByModel, int maxStoreLoads) {
-        PlanningPass pass = new PlanningPass(engine, runners, workByModel, maxStoreLoads);
+            EngineSpec engine,
+            List<Runner> runners,
+            Map<String, WorkRate> workByModel,
+            int maxStoreLoads,
+            boolean mayDisplace) {
+        PlanningPass pass = new PlanningPass(engine, runners, workByModel, maxStoreLoads, mayDisplace);
         List<PlannedOrder> orders = new ArrayList<>(pass.ordersForReservedRunners());
-        for (String model : pass.underReplicatedModels()) {
-            Optional<PlannedOrder> order = pass.orderFor(model);
-            while (order.isPresent()) {
-                orders.add(order.get());
-                order = pass.isUnderReplicated(model) ? pass.orderFor(model) : Optional.empty();
-            }
+        Optional<Move> move = pass.bestMove();
+        while (move.isPresent()) {
+            orders.add(pass.start(move.get()));
+            move = pass.bestMove();
         }
         return orders;
     }
 
+    /** Returns the memory that a model and its adapters need on a runner. */
+    double neededMb(ModelSpec model) {
+        return model.weightsMb() + settings.adapterReserveMb();
+    }
+
     private final class PlanningPass {
         private final EngineSpec engine;
         private final List<Runner> runners;
         private final Map<String, WorkRate> workRates;
-        private final Map<String, Integer> replicas = new HashMap<>();
+        private final Map<String, Integer> copies = new HashMap<>();
         private final Set<String> assignedRunners = new HashSet<>();
+        private final boolean mayDisplace;
         private int storeLoadsLeft;
+        private double laterStoreLoadsLeft;
 
         private PlanningPass(
-                EngineSpec engine, List<Runner> runners, Map<String, WorkRate> workRates, int maxStoreLoads) {
+                EngineSpec engine,
+                List<Runner> runners,
+                Map<String, WorkRate> workRates,
+                int maxStoreLoads,
+                boolean mayDisplace) {
+            this.mayDisplace = mayDisplace;
             this.storeLoadsLeft = maxStoreLoads;
             this.engine = engine;
             this.runners = runners;
@@ -129,35 +158,66 @@
                 int count = (int) runners.stream()
                         .filter(runner -> runner.holdsOrReserves(model))
                         .count();
-                replicas.put(model, count);
+                copies.put(model, count);
             }
+            long loadsToCome = runners.stream()
+                    .filter(runner -> !runner.reservedFor().isEmpty()
+                            && !runner.ledger().holdsOrLoads(runner.reservedFor())
+                            && !runner.ledger().hasLocalCopy(runner.reservedFor()))
+                    .count();
+            laterStoreLoadsLeft = maxStoreLoads == 0
+                    ? 0
+                    : maxStoreLoads + engine.loadsPerSecond() * settings.loadLeadMillis() / 1_000 - loadsToCome;
         }
 
-        private int desiredReplicas(String model) {
-            double desired = Math.ceil(workOf(model) / settings.workMillisPerRunner());
-            return (int) Math.max(1, Math.min(desired, runners.size()));
+        private WorkRate rate(String model) {
+            return workRates.getOrDefault(model, WorkRate.NONE);
         }
 
-        private double workOf(String model) {
-            return workRates.getOrDefault(model, WorkRate.NONE).current();
+        private boolean isBusy(String model) {
+            return rate(model).sustained() >= settings.busyWorkMillis();
         }
 
-        /** Returns models with too few replicas: requested ones without any first, then by work per replica, highest first. */
-        private List<String> underReplicatedModels() {
-            Comparator<String> byNeed = Comparator.comparing(
-                            (String model) -> replicas.get(model) > 0 || workOf(model) < settings.activeWorkMillis())
-                    .thenComparing(Comparator.comparingDouble(
-                                    (String model) -> workOf(model) / Math.max(1, replicas.get(model)))
-                            .reversed())
-                    .thenComparing(Comparator.naturalOrder());
-            return engine.models().keySet().stream()
-                    .filter(this::isUnderReplicated)
-                    .sorted(byNeed)
-                    .toList();
+        private boolean isWanted(String model) {
+            return Math.max(rate(model).expected(), rate(model).recent()) >= settings.busyWorkMillis();
         }
 
-        private boolean isUnderReplicated(String model) {
-            return replicas.get(model) < desiredReplicas(model);
+        private CopyValue value(String model, double workMillis) {
+            double needForWork = workMillis / settings.workMillisPerCopy();
+            double needForAdapters = engine.adapterSlots() == 0
+                    ? 0
+                    : rate(model).activeAdapters() / (engine.adapterSlots() * settings.adapterSlotShare());
+            return new CopyValue(Math.max(needForWork, needForAdapters), workMillis);
+        }
+
+        /** Returns what one more copy of a model is worth. */
+        private double gainOfNext(String model) {
+            int present = copies.get(model);
+            if (present > 0) {
+                return value(model, rate(model).expected()).ofCopy(present + 1);
+            }
+            double workMillis = isBusy(model)
+                    ? Math.max(rate(model).expected(), rate(model).recent())
+                    : rate(model).longRun();
+            return value(model, workMillis).ofCopy(1);
+        }
+
+        /** Returns what a model loses with its last counted copy. */
+        private double lossOfLast(String model) {
+            int present = copies.get(model);
+            if (present > 1) {
+                return value(model, rate(model).expected()).ofCopy(present);
+            }
+            return value(model, Math.max(rate(model).recent(), rate(model).longRun()))
+                    .ofCopy(1);
+        }
+
+        private double neededMb(String model) {
+            return ResidencyPlanner.this.neededMb(engine.models().get(model));
+        }
+
+        private boolean hasRoom(Runner runner, double neededMb) {
+            return runner.ledger().freeMb(engine) >= neededMb;
         }
 
         /** Returns the next order for each reserved runner: the load if there is room by now, otherwise the next unload. */
@@ -173,26 +233,39 @@
                     continue;
                 }
                 if (hasRoom(runner, neededMb(model))) {
-                    planLoad(runner, model).ifPresent(orders::add);
+                    if (mayLoad(runner, model, storeLoadsLeft)) {
+                        orders.add(load(runner, model));
+                    }
                     continue;
                 }
-                // The reserved runner counts as a replica but does not serve the model yet, so it does not lower the
-                // pressure on the replicas that do.
-                replicas.merge(model, -1, Integer::sum);
-                List<String> victims = victims(runner, model, neededMb(model));
-                replicas.merge(model, 1, Integer::sum);
-                if (!victims.isEmpty()) {
-                    orders.add(planUnload(runner, victims.get(0), model));
-                }
+                victims(runner, model, gainOfNext(model))
+                        .ifPresent(victims -> orders.add(unload(runner, victims.get(0), model)));
             }
             return orders;
         }
 
-        private double neededMb(String model) {
-            return engine.models().get(model).weightsMb() + settings.adapterReserveMb();
+        /** Returns the most valuable move that is worth its price; empty if there is none. */
+        private Optional<Move> bestMove() {
+            Move best = null;
+            for (String model : engine.models().keySet()) {
+                double gain = gainOfNext(model);
+                boolean absent = copies.get(model) == 0;
+                if ((!absent && gain < settings.minFreeGainMillis())
+                        || (best != null && gain * settings.horizonSeconds() <= best.net())) {
+                    continue;
+                }
+                Optional<Move> move = bestMove(model, gain, absent);
+                boolean better = move.isPresent()
+                        && (best == null
+                                || move.get().net() > best.net()
+                                || (move.get().net() == best.net() && model.compareTo(best.model()) < 0));
+                best = better ? move.get() : best;
+            }
+            return Optional.ofNullable(best);
         }
 
-        private Optional<PlannedOrder> orderFor(String model) {
+        private Optional<Move> bestMove(String model, double gain, boolean absent) {
+            double highest = gain * settings.horizonSeconds();
             List<Runner> eligible = runners.stream()
                     .filter(runner -> !runner.busy()
                             && !assignedRunners.contains(runner.id())
@@ -203,148 +276,144 @@
                             .thenComparingDouble(this::workOn)
                             .thenComparing(Runner::id))
                     .toList();
-            double neededMb = neededMb(model);
             for (Runner runner : eligible) {
-                if (hasRoom(runner, neededMb) && isWorthLoading(runner, model)) {
-                    return planLoad(runner, model);
+                if (hasRoom(runner, neededMb(model))
+                        && mayLoad(runner, model, storeLoadsLeft)
+                        && isWorthLoading(runner, model)) {
+                    return Optional.of(new Move(runner, model, List.of(), highest));
                 }
             }
-            // A busy runner with room can load the model when it is done. If that is soon, or the model can wait,
-            // displacing
-            // another model would gain nothing.
-            boolean roomSoon = runners.stream()
-                    .anyMatch(runner -> runner.busy()
-                            && (!isBusy(model) || runner.busyForMillis() <= settings.makeRoomMillis())
-                            && runner.accepts(model)
-                            && hasRoom(runner, neededMb)
-                            && !runner.holdsOrReserves(model));
-            boolean active = workOf(model) >= settings.activeWorkMillis();
-            return !roomSoon && (active || replicas.get(model) == 0)
-                    ? makeRoom(eligible, model, neededMb)
-                    : Optional.empty();
+            return !mayDisplace || roomComesSoon(model)
+                    ? Optional.empty()
+                    : moveWithVictims(eligible, model, gain, absent);
         }
 
         /** A runner accepts no adapter orders while it loads a model, so idle models are not loaded on busy runners. */
         private boolean isWorthLoading(Runner runner, String model) {
-            return workOf(model) >= settings.activeWorkMillis() || workOn(runner) <= settings.workMillisPerRunner() / 2;
-        }
-
-        private boolean hasRoom(Runner runner, double neededMb) {
-            return runner.ledger().freeMb(engine) >= neededMb;
+            return rate(model).longRun() > 0 || workOn(runner) <= settings.workMillisPerCopy() / 2;
         }
 
-        private Optional<PlannedOrder> planLoad(Runner runner, String model) {
-            if (!runner.ledger().hasLocalCopy(model)) {
-                if (storeLoadsLeft <= 0) {
-                    return Optional.empty();
-                }
-                storeLoadsLeft--;
-            }
-            assignedRunners.add(runner.id());
-            if (!runner.reservedFor().equals(model)) {
-                replicas.merge(model, 1, Integer::sum);
-            }
-            String reason = "work_ms=" + Math.round(workOf(model)) + " runners=" + replicas.get(model) + " wanted="
-                    + desiredReplicas(model);
-            return Optional.of(new PlannedOrder(
-                    runner.id(), new ResidencyOrder(ResidencyOrder.Action.LOAD, model, ""), "", reason));
+        /** Returns whether a runner with room executes another order and can load the model afterwards. */
+        private boolean roomComesSoon(String model) {
+            return runners.stream()
+                    .anyMatch(runner -> runner.busy()
+                            && (!isWanted(model) || runner.busyForMillis() <= settings.makeRoomMillis())
+                            && runner.accepts(model)
+                            && hasRoom(runner, neededMb(model))
+                            && !runner.holdsOrReserves(model));
         }
 
-        /** Returns the first unload on the runner where making room costs least. */
-        private Optional<PlannedOrder> makeRoom(List<Runner> eligible, String model, double neededMb) {
-            Runner best = null;
-            List<String> bestVictims = List.of();
-            double lowestCost = Double.POSITIVE_INFINITY;
-            boolean active = workOf(model) >= settings.activeWorkMillis();
+        private Optional<Move> moveWithVictims(List<Runner> eligible, String model, double gain, boolean absent) {
+            Move best = null;
             for (Runner runner : eligible) {
-                if (!active && !runner.ledger().hasLocalCopy(model)) {
+                if (!mayLoad(runner, model, laterStoreLoadsLeft)) {
                     continue;
                 }
-                List<String> victims = victims(runner, model, neededMb);
-                double copyPenalty = runner.ledger().hasLocalCopy(model) ? 0 : settings.missingCopyPenaltyMillis();
-                double cost = copyPenalty
-                        + victims.stream().mapToDouble(this::unloadCost).sum();
-                if (!victims.isEmpty() && cost < lowestCost) {
-                    best = runner;
-                    bestVictims = victims;
-                    lowestCost = cost;
+                Optional<List<String>> victims = victims(runner, model, gain);
+                if (victims.isEmpty() || !isWorth(victims.get(), gain, absent)) {
+                    continue;
                 }
+                double net = gain * settings.horizonSeconds()
+                        - victims.get().stream()
+                                .mapToDouble(victim -> priceOf(victim, gain))
+                                .sum();
+                boolean better = best == null || net > best.net();
+                best = better ? new Move(runner, model, victims.get(), net) : best;
             }
-            if (best == null || (storeLoadsLeft <= 0 && !best.ledger().hasLocalCopy(model))) {
-                return Optional.empty();
+            return Optional.ofNullable(best);
+        }
+
+        /** Returns what it costs until the horizon to displace a model: its own loss, and the gain that its drain delays. */
+        private double priceOf(String victim, double gain) {
+            boolean inUse = rate(victim).recent() / Math.max(1, copies.get(victim)) >= settings.inUseWorkMillis();
+            return lossOfLast(victim) * settings.horizonSeconds() + (inUse ? gain * settings.drainSeconds() : 0);
+        }
+
+        private boolean isWorth(List<String> victims, double gain, boolean absent) {
+            double loss = 0;
+            double required = 0;
+            for (String victim : victims) {
+                boolean last = copies.get(victim) < 2;
+                loss += lossOfLast(victim);
+                required += lossOfLast(victim) * (last ? settings.minLastCopyRatio() : settings.minGainRatio());
             }
-            replicas.merge(model, 1, Integer::sum);
-            return Optional.of(planUnload(best, bestVictims.get(0), model));
+            boolean gainsEnough = absent ? gain > 0 : gain - loss >= settings.minGainMillis();
+            return gainsEnough && gain > required;
+        }
+
+        private boolean mayLoad(Runner runner, String model, double storeLoads) {
+            return runner.ledger().hasLocalCopy(model) || storeLoads >= 1;
         }
 
-        /** Returns models to unload, lowest cost first; empty if there is room already or not enough can be made. */
-        private List<String> victims(Runner runner, String model, double neededMb) {
+        /** Returns models whose unload makes room, lowest price first; empty if not enough room can be made. */
+        private Optional<List<String>> victims(Runner runner, String model, double gain) {
             List<String> candidates = runner.ledger().models().stream()
-                    .filter(victim -> engine.models().containsKey(victim)
-                            && runner.ledger().serves(victim)
-                            && mayUnload(victim, model))
-                    .sorted(Comparator.comparingDouble(this::unloadCost).thenComparing(Comparator.naturalOrder()))
+                    .filter(victim -> !victim.equals(model)
+                            && engine.models().containsKey(victim)
+                            && runner.ledger().serves(victim))
+                    .sorted(Comparator.comparingDouble((String victim) -> priceOf(victim, gain))
+                            .thenComparing(Comparator.naturalOrder()))
                     .toList();
             double freeMb = runner.ledger().freeMb(engine);
             List<String> victims = new ArrayList<>();
             for (String candidate : candidates) {
-                if (freeMb >= neededMb) {
+                if (freeMb >= neededMb(model)) {
                     break;
                 }
                 victims.add(candidate);
                 freeMb += engine.models().get(candidate).weightsMb();
             }
-            return freeMb >= neededMb ? victims : List.of();
+            return freeMb >= neededMb(model) && !victims.isEmpty() ? Optional.of(victims) : Optional.empty();
         }
 
-        private PlannedOrder planUnload(Runner runner, String victim, String beneficiary) {
-            assignedRunners.add(runner.id());
-            replicas.merge(victim, -1, Integer::sum);
-            String reason = "room_for=" + beneficiary + " work_ms=" + Math.round(workOf(victim)) + " runners_left="
-                    + replicas.get(victim);
-            ResidencyOrder order = new ResidencyOrder(ResidencyOrder.Action.UNLOAD, victim, "");
-            return new PlannedOrder(runner.id(), order, beneficiary, reason);
-        }
-
-        /** Returns the work per remaining replica after an unload; the last replica costs half of the work per runner. */
-        private double unloadCost(String model) {
-            int remaining = replicas.getOrDefault(model, 0) - 1;
-            return remaining < 1 ? settings.workMillisPerRunner() / 2 : workOf(model) / remaining;
-        }
-
-        private boolean mayUnload(String victim, String beneficiary) {
-            if (victim.equals(beneficiary)) {
-                return false;
-            }
-            if (replicas.getOrDefault(victim, 0) < 2) {
-                // The lower limit stops rarely requested models from displacing each other before their next requests.
-                double maxIdleWorkMillis =
-                        isBusy(beneficiary) ? settings.idleWorkMillis() : settings.residualWorkMillis();
-                return isUnderPressure(beneficiary) && workOf(victim) <= maxIdleWorkMillis;
+        private PlannedOrder start(Move move) {
+            if (move.victims().isEmpty()) {
+                return load(move.runner(), move.model());
             }
-            if (workOf(beneficiary) < settings.activeWorkMillis()) {
-                return unloadCost(victim) <= settings.idleWorkMillis();
+            if (!move.runner().ledger().hasLocalCopy(move.model())) {
+                laterStoreLoadsLeft--;
             }
-            boolean surplus = unloadCost(victim) <= settings.workMillisPerRunner() * settings.surplusFactor();
-            // A model without a replica may take one from a model that keeps others, if its demand is higher than the
-            // cost.
-            return surplus || (replicas.get(beneficiary) == 0 && unloadCost(victim) < workOf(beneficiary));
+            copies.merge(move.model(), 1, Integer::sum);
+            return unload(move.runner(), move.victims().get(0), move.model());
         }
 
-        private boolean isBusy(String model) {
-            return workOf(model) >= settings.busyWorkMillis();
+        private PlannedOrder load(Runner runner, String model) {
+            if (!runner.ledger().hasLocalCopy(model)) {
+                storeLoadsLeft--;
+                laterStoreLoadsLeft--;
+            }
+            assignedRunners.add(runner.id());
+            if (!runner.reservedFor().equals(model)) {
+                copies.merge(model, 1, Integer::sum);
+            }
+            String reason = String.format(
+                    Locale.ROOT,
+                    "work_ms=%.0f copies=%d needed=%.2f",
+                    rate(model).expected(),
+                    copies.get(model),
+                    value(model, rate(model).expected()).needCopies());
+            return new PlannedOrder(runner.id(), new ResidencyOrder(ResidencyOrder.Action.LOAD, model, ""), "", reason);
         }
 
-        private boolean isUnderPressure(String model) {
-            return (replicas.get(model) == 0 && workOf(model) >= settings.activeWorkMillis())
-                    || workRates.getOrDefault(model, WorkRate.NONE).sustained() / replicas.get(model)
-                            > settings.workMillisPerRunner() * settings.pressureFactor();
+        private PlannedOrder unload(Runner runner, String victim, String beneficiary) {
+            assignedRunners.add(runner.id());
+            double loss = lossOfLast(victim);
+            copies.merge(victim, -1, Integer::sum);
+            String reason = String.format(
+                    Locale.ROOT,
+                    "room_for=%s work_ms=%.0f loss_ms=%.1f copies_left=%d",
+                    beneficiary,
+                    rate(victim).expected(),
+                    loss,
+                    copies.get(victim));
+            ResidencyOrder order = new ResidencyOrder(ResidencyOrder.Action.UNLOAD, victim, "");
+            return new PlannedOrder(runner.id(), order, beneficiary, reason);
         }
 
         private double workOn(Runner runner) {
             double sum = 0;
             for (String model : runner.ledger().models()) {
-                sum += workOf(model) / Math.max(1, replicas.getOrDefault(model, 1));
+                sum += rate(model).expected() / Math.max(1, copies.getOrDefault(model, 1));
             }
             return sum;
         }
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/RunnerLedger.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/RunnerLedger.java
@@ -92,6 +92,11 @@
     /** Records that the runner accepted an order. */
     void onAccepted(ResidencyOrder order, long expectedDoneMillis) {
         ordersAccepted++;
+        if (!order.forAdapter()) {
+            // A runner accepts an order for a model once the one before is carried out.
+            held.keySet().removeAll(unloading);
+            unloading.clear();
+        }
         apply(order);
         // An adapter in use is unloaded after its last request; until then the runner accepts no other order.
         if (!order.forAdapter() || order.action() == ResidencyOrder.Action.UNLOAD) {
@@ -191,6 +196,18 @@
         return engine.weightsMb() - used;
     }
 
+    /** Returns the free memory once the unload in progress is carried out. */
+    double freeMbAfterUnload(EngineSpec engine) {
+        double unloadingMb = 0;
+        for (String name : unloading) {
+            ModelSpec model = engine.models().get(name);
+            unloadingMb += model == null || !held.containsKey(name)
+                    ? 0
+                    : model.weightsMb() + held.get(name).size() * model.adapterMb();
+        }
+        return freeMb(engine) + unloadingMb;
+    }
+
     /** Returns whether the runner has enough memory and adapter slots for an order. */
     boolean fits(ResidencyOrder order, EngineSpec engine) {
         ModelSpec model = engine.models().get(order.model());
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/request/ServerChoiceRequest.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/request/ServerChoiceRequest.java
@@ -11,6 +11,7 @@
  * @param softwareVersion version of the servers' software that a stream must go on at; empty if any will do
  * @param tried ids of the servers of earlier attempts
  * @param remainingMillis time until the deadline of the caller or of the route
+ * @param patienceMillis time until the caller gives up if nothing of the answer has arrived
  */
 public record ServerChoiceRequest(
         RouteSpec route,
@@ -19,4 +20,5 @@
         Optional<String> softwareVersion,
         Set<String> tried,
         long remainingMillis,
+        long patienceMillis,
         int bodyBytes) {}
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/request/ServerChooser.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/request/ServerChooser.java
@@ -216,7 +216,7 @@
             }
         }
         double limitMillis = Math.min(
-                request.remainingMillis(), settings.maxFirstEventMillis(request.route(), request.remainingMillis()));
+                request.patienceMillis(), settings.maxFirstEventMillis(request.route(), request.remainingMillis()));
         if (bestPredicted > limitMillis) {
             long excessMillis = (long) (bestPredicted - limitMillis);
             String reason = "predicted_too_late predicted_ms=" + Math.round(bestPredicted) + " limit_ms="
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
@@ -16,10 +16,12 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiPredicate;
 import java.util.function.Function;
+import org.agatehatch.api.fleet.EngineSpec;
 import org.agatehatch.api.fleet.KeyedTopic;
 import org.agatehatch.api.fleet.PeerAddress;
 import org.agatehatch.api.fleet.ServerEntry;
 import org.agatehatch.api.fleet.ServerRecord;
+import org.agatehatch.api.fleet.ServiceSpec;
 import org.agatehatch.api.peer.PeerMessage;
 import org.agatehatch.api.time.MonotonicClock;
 import org.agatehatch.gateway.connection.BackendConnectionPool;
@@ -48,6 +50,7 @@
 import org.agatehatch.internal.process.NodeIdentity;
 import org.agatehatch.internal.process.NodeMembership;
 import org.agatehatch.internal.process.NodeView;
+import org.agatehatch.internal.process.PlacementHandover;
 import org.agatehatch.internal.process.PlacementLease;
 import org.agatehatch.internal.process.PoisonRequestDetector;
 import org.agatehatch.internal.process.RelaySelection;
@@ -117,10 +120,12 @@
     private final PeerStateBootstrap peerBootstrap;
     private final InputGuard peerStateGuard = new InputGuard("peer_state");
     private final PlacementLease claim;
+    private final PlacementHandover handover;
     private final BackendConnectionPool serverPool;
     private final GracefulShutdown shutdown;
     private final ResidencyObservations sightings = new ResidencyObservations(clock);
-    private final DemandMeter demandMeter = new DemandMeter(ChooserSettings.DEFAULT.prefillTokensPerMilli(), clock);
+    private final DemandMeter demandMeter =
+            new DemandMeter(ChooserSettings.DEFAULT.prefillTokensPerMilli(), this::slots, clock);
     private final ServerChooser chooser;
     private final PoisonRequestDetector poisonRequests = new PoisonRequestDetector(clock, this::onStrike);
     private final CrashingPartDetector crashingParts =
@@ -180,7 +185,9 @@
                 settings.runnersEnforceFencing(),
                 control,
                 clock,
-                holder -> placementHolder = holder);
+                this::onHolder);
+        handover = new PlacementHandover(
+                settings.self(), claim, () -> nodes, peerTransport, settings.peerPort(), control, clock, random);
         chooser = newChooser();
         residencyController = newResidencyController();
         residencyClient = new ResidencyClient(
@@ -250,6 +257,13 @@
                 this::nodeCount);
     }
 
+    private int slots(String service) {
+        return Optional.ofNullable(config.config().services().get(service))
+                .flatMap(ServiceSpec::engine)
+                .map(EngineSpec::slots)
+                .orElse(1);
+    }
+
     private int nodeCount() {
         return nodes.nodes().size();
     }
@@ -293,6 +307,7 @@
             serverFollower.start();
             membership.start();
             claim.start();
+            handover.start();
             residencyController.start();
         });
         peerTransport.bind(new PeerAddress(settings.self().host(), settings.peerPort()));
@@ -443,6 +458,13 @@
         claim.onMembershipChange(view);
     }
 
+    private void onHolder(Optional<NodeIdentity> found) {
+        placementHolder = found;
+        if (found.equals(Optional.of(settings.self()))) {
+            handover.announce();
+        }
+    }
+
     private static List<String> otherSeedNodes(EdgeSettings settings) {
         return settings.seedHosts().stream()
                 .filter(host -> !host.equals(settings.self().host()))
@@ -460,6 +482,8 @@
                         control::execute);
             case CrashEvidence.FULL_EXCHANGE_TYPE, CrashEvidence.RECENT_EXCHANGE_TYPE -> crashEvidence.receive(message);
             case LimitMessages.NOTICE_TYPE, LimitMessages.PERMIT_REQUEST_TYPE -> limitCoordinator.receive(message);
+            case PlacementHandover.QUESTION_TYPE, PlacementHandover.NOTICE_TYPE, PlacementHandover.CHANGE_TYPE ->
+                handover.receive(message);
             case StreamOriginMessages.QUESTION_TYPE -> streamOriginExchange.receive(message, streamOrigins::remembered);
             default -> residencyClient.receive(message);
         };
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
@@ -359,6 +359,10 @@
             exchange.onDelivery(this);
             exchange.context().chooser().succeeded(exchange.service(), server().id(), unexplainedLatencyMillis());
             exchange.context().crashes().requestAnswered(exchange.fingerprint());
+            exchange.metadata()
+                    .generation()
+                    .ifPresent(generation ->
+                            exchange.context().demandMeter().answered(generation, sinceFirstByteMillis()));
             recordSurvival();
         }
         end(
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Exchange.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Exchange.java
@@ -79,8 +79,8 @@
         this.request = request;
         this.sink = sink;
         this.arrivedMillis = request.arrivedNanos() / 1_000_000;
-        this.serverWait = new ServerWait(parts, new Waiter(), this::remainingMillis);
-        this.selection = new ServerSelection(parts, this::chooseServer, this::remainingMillis);
+        this.serverWait = new ServerWait(parts, new Waiter(), this::patienceMillis);
+        this.selection = new ServerSelection(parts, this::chooseServer, this::patienceMillis);
     }
 
     /** Starts processing the request. */
@@ -226,6 +226,7 @@
                         softwareVersion,
                         unavailableServerIds,
                         remainingMillis(),
+                        patienceMillis(),
                         request.body().length));
     }
 
@@ -560,6 +561,13 @@
         return context.clock().millis();
     }
 
+    /** Returns the time until the caller gives up unless something of the answer arrives. */
+    private long patienceMillis() {
+        return relay.started()
+                ? remainingMillis()
+                : Math.min(remainingMillis(), arrivedMillis + route.patienceMillis() - nowMillis());
+    }
+
     private long remainingMillis() {
         return deadlineMillis - nowMillis();
     }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/StreamTakeUp.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/StreamTakeUp.java
@@ -18,7 +18,7 @@
     private static final long VIEW_CHECK_MILLIS = 50;
 
     /** Longest wait for a recent view; a node in touch with the store gets one about once a second. */
-    private static final long MAX_VIEW_WAIT_MILLIS = 2_000;
+    private static final long MAX_VIEW_WAIT_MILLIS = 1_200;
 
     /** Time after a server has left this node's view in which another node may still begin a stream there. */
     private static final long VIEW_LAG_MILLIS = 3_000;
