--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/DemandMeter.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/DemandMeter.java
@@ -14,6 +14,9 @@
     /** Time of one decoding step, which generates a token for each request of the batch; the data sheets state 5.05 ms and more. */
     private static final double STEP_MILLIS = 5.5;
 
+    /** Prefill delays the output of the whole batch, so that it counts for more than its own time. */
+    private static final double PREFILL_WEIGHT = 1.4;
+
     /** Share of the maximum output that answers are assumed to have until some have been seen. */
     private static final double INITIAL_OUTPUT_SHARE = 0.5;
 
@@ -71,7 +74,7 @@
     private double workMillis(String service, GenerationRequest request, int uncachedTokens) {
         double prefillMillis = uncachedTokens / prefillTokensPerMilli;
         double durationMillis = prefillMillis + request.maxOutputTokens() * STEP_MILLIS * outputShare;
-        return Math.max(prefillMillis, durationMillis / Math.max(1, slots.applyAsInt(service)));
+        return Math.max(PREFILL_WEIGHT * prefillMillis, durationMillis / Math.max(1, slots.applyAsInt(service)));
     }
 
     private void addWork(String service, GenerationRequest request, double work) {
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/ResidencyController.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/ResidencyController.java
@@ -1,6 +1,5 @@
 package org.agatehatch.internal.process;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -20,7 +19,6 @@
 import org.agatehatch.api.fleet.ModelSpec;
 import org.agatehatch.api.fleet.ResidencyOrder;
 import org.agatehatch.api.fleet.ResidencyOrders;
-import org.agatehatch.api.fleet.RunnerReport;
 import org.agatehatch.api.fleet.ServerEntry;
 import org.agatehatch.api.fleet.ServiceSpec;
 import org.agatehatch.api.time.MonotonicClock;
@@ -40,18 +38,9 @@
     /** Minimum time between plans that requests for absent models trigger; a plan visits all models and runners. */
     private static final long MIN_ON_DEMAND_PLANNING_INTERVAL_MILLIS = 50;
 
-    /** Minimum time between two reads of a runner's report. Reports lag some hundred milliseconds behind. */
-    private static final long REPORT_RETRY_MILLIS = 250;
-
     /** Runner time that a request for an absent model counts as; its estimated work is counted when it is sent. */
     private static final double UNSERVED_REQUEST_WORK_MILLIS = 15;
 
-    /** Time after which an unsent order is dropped; the requests that need an adapter wait no longer. */
-    private static final long ORDER_QUEUE_TIMEOUT_MILLIS = 400;
-
-    /** Time to load an adapter; the users' data sheets state 5 to 9.7 ms. */
-    private static final long ADAPTER_LOAD_MILLIS = 11;
-
     /** Delay from the notice to the nodes that a model leaves a runner to the unload order, so that no request is refused. */
     private static final long UNLOAD_NOTICE_MILLIS = 400;
 
@@ -64,27 +53,12 @@
     /** Usual time until the planner has found a runner for a newly requested model. */
     private static final long EXPECTED_PLANNING_MILLIS = 600;
 
-    /** Time after which a runner is no longer reserved for the model for which it makes room. */
-    private static final long RESERVATION_TIMEOUT_MILLIS = 4_000;
-
     /** Usual time until the last request of one of a runner's adapters has ended, so that its slot can be used. */
     private static final long SLOT_WAIT_MILLIS = 250;
 
-    /** Margin on a node's report interval after which an adapter that its reports did not name is not in use. */
-    private static final long ADAPTER_REPORT_DELAY_MILLIS = 150;
-
-    /** Delay before an adapter order is sent again to a runner that executes another order. */
-    private static final long CONFLICT_RETRY_MILLIS = 100;
-
-    /** Time for which a load is sent again to a runner that still unloads another model; afterwards its report is read. */
-    private static final long UNLOAD_TIMEOUT_MILLIS = 3_000;
-
     /** Time for which a new holder waits for the reports of most nodes, without which it would take all models for idle. */
     private static final long FIRST_REPORTS_MILLIS = 800;
 
-    /** Margin on an order's expected duration before the runner's report is read to find out whether it is done. */
-    private static final long LOAD_SLACK_MILLIS = 100;
-
     private final String self;
     private final ResidencyOrders orders;
     private final Supplier<FleetConfig> config;
@@ -195,7 +169,7 @@
                 return 0;
             }
             if (queue.ledger.holdsOrLoads(request.model())) {
-                return Math.max(0, queue.ledger.busyUntilMillis() - nowMillis) + REPORT_RETRY_MILLIS;
+                return Math.max(0, queue.ledger.busyUntilMillis() - nowMillis) + OrderQueue.REPORT_RETRY_MILLIS;
             }
         }
         ModelSpec model = engine(request.service())
@@ -250,7 +224,8 @@
         long nowMillis = clock.millis();
         return serving.stream()
                 .filter(queue -> queue.ledger.busy())
-                .mapToLong(queue -> Math.max(CONFLICT_RETRY_MILLIS, queue.ledger.busyUntilMillis() - nowMillis))
+                .mapToLong(
+                        queue -> Math.max(OrderQueue.CONFLICT_RETRY_MILLIS, queue.ledger.busyUntilMillis() - nowMillis))
                 .min()
                 .orElse(serving.isEmpty() ? -1 : SLOT_WAIT_MILLIS);
     }
@@ -353,7 +328,7 @@
                     present.add(entry.id());
                     OrderQueue queue = orderQueues.get(entry.id());
                     if (queue == null || queue.ledger.startedAtMillis() != entry.startedAtMillis()) {
-                        orderQueues.put(entry.id(), new OrderQueue(entry));
+                        orderQueues.put(entry.id(), new OrderQueue(entry, new Holder(), orders, control, clock));
                     } else {
                         queue.onEntry(entry);
                     }
@@ -366,304 +341,59 @@
         return spec == null ? Optional.empty() : spec.engine();
     }
 
-    private static String key(String first, String second) {
+    static String key(String first, String second) {
         return first + '/' + second;
     }
 
-    /** The queue of orders for one process of a runner. */
-    private final class OrderQueue {
-        private final RunnerLedger ledger;
-        private final ArrayDeque<QueuedOrder> queue = new ArrayDeque<>();
-        private final Map<String, CompletableFuture<ResidencyMessages.Reply>> pendingAdapters = new HashMap<>();
-        private ServerEntry entry;
-        private boolean orderInFlight;
-        private boolean unloadAnnounced;
-        private String reservedModel = "";
-        private long reservedUntilMillis = Long.MIN_VALUE;
-        private boolean reportInFlight;
-        private long lastReportReadMillis = Long.MIN_VALUE / 2;
-
-        /**
-         * An order that waits for its turn.
-         *
-         * @param followsUnload whether the order is a load that the runner accepts once an unload in progress is carried out
-         */
-        private record QueuedOrder(
-                EngineSpec engine,
-                ResidencyOrder order,
-                boolean followsUnload,
-                CompletableFuture<Boolean> result,
-                long expiresAtMillis) {}
-
-        private OrderQueue(ServerEntry entry) {
-            this.entry = entry;
-            this.ledger = new RunnerLedger(entry);
-        }
-
-        private void onEntry(ServerEntry newer) {
-            if (newer != entry) {
-                entry = newer;
-                ledger.onEntry(newer);
-            }
-        }
-
-        private void reserve(String model) {
-            reservedModel = model;
-            reservedUntilMillis = clock.millis() + RESERVATION_TIMEOUT_MILLIS;
+    private final class Holder implements OrderQueue.Holder {
+        @Override
+        public String name() {
+            return self;
         }
 
-        /** Returns the model for which the runner makes room; empty if there is none. */
-        private String reservedFor() {
-            boolean released = clock.millis() >= reservedUntilMillis || ledger.holdsOrLoads(reservedModel);
-            return released ? "" : reservedModel;
+        @Override
+        public Optional<PlacementGrant> usableGrant() {
+            return ResidencyController.this.usableGrant();
         }
 
-        private ResidencyPlanner.Runner plannerInput() {
-            long busyForMillis = Math.max(0, ledger.busyUntilMillis() - clock.millis());
-            return new ResidencyPlanner.Runner(entry.id(), ledger, isBusy(), busyForMillis, reservedFor());
+        @Override
+        public void onFenced(long token) {
+            fencedToken = token;
         }
 
-        private boolean isBusy() {
-            return !ledger.isKnown() || ledger.busy() || orderInFlight || unloadAnnounced || !queue.isEmpty();
+        @Override
+        public boolean mayStartStoreLoad() {
+            return allowedStoreLoads() > 0;
         }
 
-        /** Reads the runner's report if its state is not known, or if the order in progress should be done by now. */
-        private void refreshReport() {
-            long nowMillis = clock.millis();
-            boolean reportNeeded = !ledger.isKnown() || (ledger.busy() && nowMillis >= ledger.busyUntilMillis());
-            if (!reportNeeded
-                    || reportInFlight
-                    || orderInFlight
-                    || nowMillis - lastReportReadMillis < REPORT_RETRY_MILLIS) {
-                return;
-            }
-            reportInFlight = true;
-            lastReportReadMillis = nowMillis;
-            orders.report(entry)
-                    .whenComplete((report, failure) -> control.execute(() -> {
-                        reportInFlight = false;
-                        if (failure != null) {
-                            log.info("event=report_failed runner={} cause={}", entry.id(), failure.toString());
-                            return;
-                        }
-                        if (report.startedAtMillis() != 0 && report.startedAtMillis() != ledger.startedAtMillis()) {
-                            log.info("event=report_ignored runner={} reason=other_process", entry.id());
-                            return;
-                        }
-                        onReport(report);
-                        sendNext();
-                        if (ledger.busy()) {
-                            control.schedule(REPORT_RETRY_MILLIS, this::refreshReport);
-                        }
-                    }));
+        @Override
+        public void consumeStoreLoad() {
+            storeLoadLimiter.consume();
         }
 
-        private void onReport(RunnerReport report) {
-            Set<String> served = servedModels();
-            if (!ledger.onReport(report)) {
-                return;
-            }
-            servedModels().stream()
-                    .filter(model -> !served.contains(model))
-                    .forEach(model -> recordChange(entry, model, "", true));
+        @Override
+        public double neededMb(ModelSpec model) {
+            return planner.neededMb(model);
         }
 
-        private Set<String> servedModels() {
-            Set<String> served = new HashSet<>(ledger.models());
-            served.removeIf(model -> !ledger.serves(model));
-            return served;
+        @Override
+        public long adapterLastUsedMillis(String model, String adapter) {
+            return demand.adapterLastUsedMillis(model, adapter);
         }
 
-        private CompletionStage<ResidencyMessages.Reply> loadAdapter(
-                EngineSpec engine, ResidencyMessages.Request request) {
-            CompletableFuture<ResidencyMessages.Reply> result = new CompletableFuture<>();
-            String name = key(request.model(), request.adapter());
-            pendingAdapters.put(name, result);
-            if (ledger.adapterCount() + pendingAdapters.size() > engine.adapterSlots()) {
-                leastRecentlyUsedAdapter().ifPresent(evicted -> {
-                    recordChange(entry, evicted.model(), evicted.adapter(), false);
-                    submit(engine, evicted, new CompletableFuture<>());
-                });
-            }
-            CompletableFuture<Boolean> loaded = new CompletableFuture<>();
-            submit(engine, new ResidencyOrder(ResidencyOrder.Action.LOAD, request.model(), request.adapter()), loaded);
-            loaded.whenComplete((done, failure) -> {
-                pendingAdapters.remove(name);
-                boolean held = failure == null && done;
-                result.complete(
-                        held ? new ResidencyMessages.Reply(entry.id(), 0) : ResidencyMessages.Reply.UNAVAILABLE);
-            });
-            return result;
-        }
-
-        private boolean hasAdapterSlot(EngineSpec engine) {
-            return ledger.adapterCount() + pendingAdapters.size() < engine.adapterSlots()
-                    || leastRecentlyUsedAdapter().isPresent();
-        }
-
-        /** Returns an order to unload the least recently used adapter; empty if all of them may be in use. */
-        private Optional<ResidencyOrder> leastRecentlyUsedAdapter() {
-            ResidencyOrder candidate = null;
-            // Each report names the adapters in use, so an adapter that no report names for longer than that is unused.
-            long lastUsedBeforeMillis =
-                    clock.millis() - ReportIntervals.intervalMillis(nodeCount.getAsInt()) - ADAPTER_REPORT_DELAY_MILLIS;
-            for (String model : ledger.models()) {
-                for (String adapter : ledger.adapters(model)) {
-                    long usedMillis = demand.adapterLastUsedMillis(model, adapter);
-                    boolean loading = pendingAdapters.containsKey(key(model, adapter));
-                    if (!loading && usedMillis < lastUsedBeforeMillis) {
-                        candidate = new ResidencyOrder(ResidencyOrder.Action.UNLOAD, model, adapter);
-                        lastUsedBeforeMillis = usedMillis;
-                    }
-                }
-            }
-            return Optional.ofNullable(candidate);
+        @Override
+        public long reportIntervalMillis() {
+            return ReportIntervals.intervalMillis(nodeCount.getAsInt());
         }
 
-        private void submit(EngineSpec engine, ResidencyOrder order, CompletableFuture<Boolean> done) {
-            queue.add(new QueuedOrder(engine, order, false, done, clock.millis() + ORDER_QUEUE_TIMEOUT_MILLIS));
-            sendNext();
+        @Override
+        public void recordChange(ServerEntry runner, String model, String adapter, boolean present) {
+            ResidencyController.this.recordChange(runner, model, adapter, present);
         }
 
-        /**
-         * Sends the load for which an unload makes room, again and again until the runner accepts it, since its report would
-         * show the end of the unload some hundred milliseconds late.
-         */
-        private void loadAfterUnload(EngineSpec engine) {
-            String model = reservedFor();
-            ModelSpec spec = engine.models().get(model);
-            boolean possible = spec != null
-                    && ledger.freeMbAfterUnload(engine) >= planner.neededMb(spec)
-                    && (ledger.hasLocalCopy(model) || allowedStoreLoads() > 0);
-            if (!possible) {
-                return;
-            }
-            if (!ledger.hasLocalCopy(model)) {
-                storeLoadLimiter.consume();
-            }
-            QueuedOrder load = new QueuedOrder(
-                    engine,
-                    new ResidencyOrder(ResidencyOrder.Action.LOAD, model, ""),
-                    true,
-                    new CompletableFuture<>(),
-                    clock.millis() + UNLOAD_TIMEOUT_MILLIS);
-            sendAgainLater(load);
-        }
-
-        private void sendAgainLater(QueuedOrder task) {
-            orderInFlight = true;
-            control.schedule(CONFLICT_RETRY_MILLIS, () -> {
-                orderInFlight = false;
-                queue.addFirst(task);
-                sendNext();
-            });
-        }
-
-        private void sendNext() {
-            expireQueued();
-            Optional<PlacementGrant> usable = usableGrant();
-            if (orderInFlight || queue.isEmpty() || !ledger.isKnown() || usable.isEmpty()) {
-                return;
-            }
-            QueuedOrder task = queue.poll();
-            if (!task.followsUnload() && !ledger.fits(task.order(), task.engine())) {
-                log.info("event=order_withheld runner={} order=\"{}\" reason=no_room", entry.id(), task.order());
-                task.result().complete(false);
-                sendNext();
-                return;
-            }
-            boolean storeLoad = task.order().action() == ResidencyOrder.Action.LOAD
-                    && !task.order().forAdapter()
-                    && !task.followsUnload()
-                    && !ledger.hasLocalCopy(task.order().model());
-            if (storeLoad) {
-                storeLoadLimiter.consume();
-            }
-            orderInFlight = true;
-            long expected = ledger.ordersAccepted();
-            long token = usable.get().token();
-            orders.order(entry, task.order(), expected, self, token)
-                    .whenComplete(
-                            (reply, failure) -> control.execute(() -> onReply(task, expected, token, reply, failure)));
-        }
-
-        private void expireQueued() {
-            long nowMillis = clock.millis();
-            queue.removeIf(task -> {
-                boolean expired = nowMillis > task.expiresAtMillis();
-                if (expired) {
-                    task.result().complete(false);
-                }
-                return expired;
-            });
-        }
-
-        private void onReply(
-                QueuedOrder task, long expected, long token, ResidencyOrders.Reply reply, Throwable failure) {
-            orderInFlight = false;
-            String outcome = failure == null ? reply.name() : "NO_ANSWER";
+        @Override
+        public void countReply(String outcome) {
             orderCounter.accept(outcome);
-            log.info(
-                    "event=order runner={} order=\"{}\" expected_orders={} token={} reply={} cause={}",
-                    entry.id(),
-                    task.order(),
-                    expected,
-                    token,
-                    outcome,
-                    failure == null ? "-" : failure.toString());
-            if (failure != null) {
-                ledger.markUnknown();
-                task.result().complete(false);
-                return;
-            }
-            switch (reply) {
-                case ACCEPTED -> onAccepted(task);
-                case HOLDS -> {
-                    ledger.onAlreadyDone(task.order());
-                    task.result().complete(true);
-                    refreshReport();
-                }
-                case FENCED -> {
-                    fencedToken = token;
-                    task.result().complete(false);
-                }
-                case CONFLICT -> onConflict(task);
-                case INVALID, OTHER_SERVER -> {
-                    ledger.markUnknown();
-                    task.result().complete(false);
-                }
-            }
-            sendNext();
-        }
-
-        /** Retries an order: a runner that executes another one refuses it, and its count of orders stays the same. */
-        private void onConflict(QueuedOrder task) {
-            boolean mayRetry = (task.order().forAdapter() || task.followsUnload())
-                    && clock.millis() + CONFLICT_RETRY_MILLIS < task.expiresAtMillis();
-            if (!mayRetry) {
-                ledger.markUnknown();
-                task.result().complete(false);
-                return;
-            }
-            sendAgainLater(task);
-        }
-
-        private void onAccepted(QueuedOrder task) {
-            ResidencyOrder order = task.order();
-            ModelSpec model = task.engine().models().get(order.model());
-            double seconds = order.action() == ResidencyOrder.Action.LOAD && !order.forAdapter()
-                    ? (ledger.hasLocalCopy(order.model()) ? model.diskSeconds() : model.loadSeconds())
-                    : 0;
-            long doneInMillis = (long) (seconds * 1_000) + LOAD_SLACK_MILLIS;
-            ledger.onAccepted(order, clock.millis() + doneInMillis);
-            if (!order.forAdapter()) {
-                control.schedule(doneInMillis, this::refreshReport);
-                if (order.action() == ResidencyOrder.Action.UNLOAD) {
-                    loadAfterUnload(task.engine());
-                }
-            }
-            // The runner refuses requests for an adapter until it is loaded.
-            control.schedule(ADAPTER_LOAD_MILLIS, () -> task.result().complete(true));
         }
     }
 }
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/ResidencyPlanner.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/ResidencyPlanner.java
@@ -27,7 +27,8 @@
      * @param adapterSlotShare share of a runner's adapter slots that one of its models can expect to use
      * @param adapterReserveMb memory of a runner that is reserved for adapters
      * @param busyWorkMillis sustained work from which the last copy of a model is valued by its present demand
-     * @param minGainMillis work that a move has to gain beyond what it displaces
+     * @param minGainMillis work that a further copy has to gain beyond what it displaces, for each second of its load
+     * @param minAbsentGainMillis the same for the first copy of a model, in long-run demand
      * @param minGainRatio multiple of the displaced value that another copy of a model has to be worth
      * @param minLastCopyRatio multiple of the value of a displaced last copy that a copy has to be worth
      * @param minFreeGainMillis work that another copy has to gain where it displaces nothing
@@ -43,6 +44,7 @@
             double adapterReserveMb,
             double busyWorkMillis,
             double minGainMillis,
+            double minAbsentGainMillis,
             double minGainRatio,
             double minLastCopyRatio,
             double minFreeGainMillis,
@@ -52,7 +54,8 @@
             long makeRoomMillis,
             long loadLeadMillis) {
         /** A move keeps a runner from other orders for about two seconds, in which some requests of its models are late. */
-        public static final Settings DEFAULT = new Settings(700, 0.75, 530, 40, 12, 1.3, 2, 3, 6, 2.5, 10, 1_000, 800);
+        public static final Settings DEFAULT =
+                new Settings(700, 0.75, 530, 40, 10, 0.4, 1.3, 2, 3, 6, 2.5, 10, 1_000, 800);
     }
 
     /**
@@ -208,8 +211,11 @@
             if (present > 1) {
                 return value(model, rate(model).expected()).ofCopy(present);
             }
-            return value(model, Math.max(rate(model).recent(), rate(model).longRun()))
-                    .ofCopy(1);
+            // Requests for a model without a copy wait for a second of its load at most.
+            double lostSeconds = Math.max(1, engine.models().get(model).loadSeconds() - 1);
+            return lostSeconds
+                    * value(model, Math.max(rate(model).recent(), rate(model).longRun()))
+                            .ofCopy(1);
         }
 
         private double neededMb(String model) {
@@ -310,10 +316,10 @@
                     continue;
                 }
                 Optional<List<String>> victims = victims(runner, model, gain);
-                if (victims.isEmpty() || !isWorth(victims.get(), gain, absent)) {
+                if (victims.isEmpty() || !isWorth(victims.get(), gain, absent, loadSeconds(runner, model))) {
                     continue;
                 }
-                double net = gain * settings.horizonSeconds()
+                double net = gain * (settings.horizonSeconds() - loadSeconds(runner, model))
                         - victims.get().stream()
                                 .mapToDouble(victim -> priceOf(victim, gain))
                                 .sum();
@@ -329,7 +335,13 @@
             return lossOfLast(victim) * settings.horizonSeconds() + (inUse ? gain * settings.drainSeconds() : 0);
         }
 
-        private boolean isWorth(List<String> victims, double gain, boolean absent) {
+        private double loadSeconds(Runner runner, String model) {
+            ModelSpec spec = engine.models().get(model);
+            return runner.ledger().hasLocalCopy(model) ? spec.diskSeconds() : spec.loadSeconds();
+        }
+
+        /** A load takes a share of the weight store and keeps its runner from adapter orders, the longer the more. */
+        private boolean isWorth(List<String> victims, double gain, boolean absent, double loadSeconds) {
             double loss = 0;
             double required = 0;
             for (String victim : victims) {
@@ -337,8 +349,8 @@
                 loss += lossOfLast(victim);
                 required += lossOfLast(victim) * (last ? settings.minLastCopyRatio() : settings.minGainRatio());
             }
-            boolean gainsEnough = absent ? gain > 0 : gain - loss >= settings.minGainMillis();
-            return gainsEnough && gain > required;
+            double price = (absent ? settings.minAbsentGainMillis() : settings.minGainMillis()) * loadSeconds;
+            return gain - loss >= price && gain > required;
         }
 
         private boolean mayLoad(Runner runner, String model, double storeLoads) {
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/request/ChooserSettings.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/request/ChooserSettings.java
@@ -7,6 +7,7 @@
  *
  * @param prefillTokensPerMilli prompt tokens that a runner prefills per millisecond while it also decodes
  * @param firstEventMillis time to decode the tokens of the first event
+ * @param generationMillis usual time for which a generation takes one of a runner's slots
  * @param crossDomainOneWayMillis one-way network latency between failure domains
  * @param crossDomainPenaltyMillis fixed penalty of a server in another failure domain, for the cost of traffic
  *     between domains
@@ -28,6 +29,7 @@
 public record ChooserSettings(
         double prefillTokensPerMilli,
         double firstEventMillis,
+        double generationMillis,
         double crossDomainOneWayMillis,
         double crossDomainPenaltyMillis,
         double crossDomainPenaltyMillisPerKb,
@@ -45,7 +47,7 @@
      * least 5.47 ms with four tokens per event, and 0.5 to 1.4 ms between failure domains.
      */
     public static final ChooserSettings DEFAULT =
-            new ChooserSettings(28, 30, 1.4, 5, 2.5, 2, 15, 400, 0.7, 1.5, 400, 0.9, 0.5, 800);
+            new ChooserSettings(28, 30, 1_000, 1.4, 5, 2.5, 2, 15, 400, 0.7, 1.5, 400, 0.9, 0.5, 800);
 
     /**
      * Returns the longest acceptable time to the first event. A response that starts much later than its target is of
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/request/ServerChooser.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/request/ServerChooser.java
@@ -283,7 +283,19 @@
         double eventMillis = request.generation().isPresent() ? settings.firstEventMillis() : 0;
         double distanceMillis = server.failureDomain().equals(ownDomain) ? 0 : settings.crossDomainOneWayMillis();
         long unread = load.pendingPrefillTokens() + remoteLoad(server.id()).pendingPromptTokens();
-        return 2 * distanceMillis + eventMillis + (unread + uncachedTokens) / settings.prefillTokensPerMilli();
+        return 2 * distanceMillis
+                + eventMillis
+                + slotWaitMillis(server, request)
+                + (unread + uncachedTokens) / settings.prefillTokensPerMilli();
+    }
+
+    /** Returns the expected wait for one of a runner's slots, which are all taken by more requests than it runs at once. */
+    private double slotWaitMillis(ServerEntry server, ServerChoiceRequest request) {
+        if (request.generation().isEmpty()) {
+            return 0;
+        }
+        int ahead = load(server.id()).inFlight() + remoteLoad(server.id()).requests() + 1 - server.slots();
+        return Math.max(0, ahead) * settings.generationMillis() / server.slots();
     }
 
     /** Returns the load of the other nodes at a server; zero if their last report is too old. */
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/BackendRegistryTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/BackendRegistryTest.java
@@ -209,4 +209,18 @@
         registry.onNewEra(2);
         assertEquals(observed, List.of("s3 7", "gap", "gap", "gap"));
     }
+
+    // Guards against a server that is lost for good because its clock was set back before it restarted under the same
+    // id.
+    @Test
+    public void a_server_that_restarts_with_its_clock_set_back_is_used_again() {
+        put("s1", "draining 90000 8");
+        put("s1", "ready 30000 0");
+        time.advance(1_200);
+        put("s1", "ready 30000 1");
+        time.advance(BackendRegistry.DISPUTE_MILLIS);
+        assertEquals(servers(), List.of("s1", "s2"));
+        put("s1", "draining 30000 2");
+        assertEquals(servers(), List.of("s2"));
+    }
 }
--- /dev/null
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/DemandShiftTest.java
@@ -0,0 +1,88 @@
+package org.agatehatch.internal.process;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/**
+ * The load of a shared deployment: many models on few places, most of the demand at one of them, and the demand moves on within
+ * seconds. Guards against a rising model that waits for copies in use while idle ones hold places, against models that evict each
+ * other's last copies in turn, and against copies that are given up before any demand is known.
+ */
+public final class DemandShiftTest {
+    private static final int RUNNERS = 8;
+    private static final int MODELS = 19;
+    private static final int PLACES_OF_RUNNER = 3;
+    private static final double BUSY_WORK_MILLIS = 1_600;
+    private static final double RARE_WORK_MILLIS = 8;
+
+    private ResidencyFixture fleet;
+
+    /** Eight runners with three places each: the hot model on five, each other model on one runner. */
+    @BeforeMethod
+    public void start() {
+        fleet = new ResidencyFixture().model("hot", 65_100, 1.2).model("next", 65_100, 1.2);
+        for (int i = 1; i <= MODELS; i++) {
+            fleet.model("rare-" + i, 65_100, 1.2);
+        }
+        int rare = 0;
+        for (int runner = 1; runner <= RUNNERS; runner++) {
+            String[] held = new String[PLACES_OF_RUNNER];
+            for (int place = 0; place < PLACES_OF_RUNNER; place++) {
+                boolean hot = place == 0 && runner <= 5;
+                boolean next = place == 0 && runner == 6;
+                held[place] = hot ? "hot" : next ? "next" : "rare-" + (1 + rare++ % MODELS);
+            }
+            fleet.runner("r" + runner, held);
+        }
+        fleet.start();
+    }
+
+    private long resident() {
+        return fleet.runners.values().stream()
+                .flatMap(runner -> runner.held.keySet().stream())
+                .distinct()
+                .count();
+    }
+
+    private void addRareDemand(long forMillis) {
+        for (int i = 1; i <= MODELS; i++) {
+            fleet.addDemand("rare-" + i, RARE_WORK_MILLIS, forMillis);
+        }
+    }
+
+    @Test
+    public void a_model_to_which_the_demand_moves_has_three_more_copies_within_four_seconds() {
+        fleet.addDemand("hot", BUSY_WORK_MILLIS, 10_000);
+        addRareDemand(30_000);
+        fleet.time.advance(10_000);
+        fleet.addDemand("next", BUSY_WORK_MILLIS, 20_000);
+        fleet.time.advance(4_000);
+        assertTrue(fleet.replicaCount("next") >= 4, "copies: " + fleet.replicaCount("next"));
+        assertEquals(fleet.violations, List.of());
+    }
+
+    @Test
+    public void steady_demand_moves_nothing() {
+        fleet.addDemand("hot", BUSY_WORK_MILLIS, 60_000);
+        addRareDemand(60_000);
+        fleet.time.advance(30_000);
+        int before = fleet.ordersReceived;
+        long residentBefore = resident();
+        fleet.time.advance(25_000);
+        assertEquals(fleet.ordersReceived, before);
+        assertEquals(resident(), residentBefore);
+    }
+
+    @Test
+    public void no_copy_is_given_up_before_demand_is_known() {
+        fleet.time.advance(20_000);
+        assertEquals(fleet.replicaCount("hot"), 5);
+        fleet.addDemand("hot", BUSY_WORK_MILLIS, 10_000);
+        fleet.time.advance(8_000);
+        assertTrue(fleet.replicaCount("hot") >= 3, "copies: " + fleet.replicaCount("hot"));
+    }
+}
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/request/ServerChooserTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/request/ServerChooserTest.java
@@ -278,4 +278,17 @@
                 1_000));
         assertTrue(((ServerChoice.Unavailable) choice).reason().startsWith("predicted_too_late"), choice.toString());
     }
+
+    // Guards against requests that queue for a slot of a full runner while another runner has free ones.
+    @Test
+    public void a_runner_whose_slots_are_taken_counts_with_the_wait_for_one() {
+        String home = chooseAndPrefill(prompt("manual", "s0", ""));
+        chooser.updateRemoteLoads(Map.of(home, new LoadAggregator.Load(64 + 32, 0)));
+        assertTrue(!chosen(prompt("manual", "s1", "")).server().id().equals(home));
+        Map<String, LoadAggregator.Load> full = new HashMap<>();
+        fleet.servers(SERVICE).forEach(server -> full.put(server.id(), new LoadAggregator.Load(64 + 160, 0)));
+        chooser.updateRemoteLoads(full);
+        ServerChoice choice = choose(chooser, prompt("manual", "s2", ""), Set.of());
+        assertTrue(((ServerChoice.Unavailable) choice).reason().startsWith("predicted_too_late"), choice.toString());
+    }
 }
