Plan moves from the highest gain down, with losses computed once

Cause: each step of a plan visited all models on all runners, and computed the same losses and loads again.

Change: candidates are sorted by gain and left out once none can be better; losses and the work on runners are kept for the plan.

Result: the plans of the tests are the same; the time of a plan for 600 runners was not measured.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/ResidencyPlanner.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/ResidencyPlanner.java
@@ -102,6 +102,9 @@
      */
     private record Move(Runner runner, String model, List<String> victims, double net) {}
 
+    /** A model of which one more copy may be loaded, and what that copy is worth. */
+    private record Candidate(String model, double gain, boolean absent) {}
+
     private final Settings settings;
 
     ResidencyPlanner(Settings settings) {
@@ -142,6 +145,8 @@
         private final Map<String, WorkRate> workRates;
         private final Map<String, Integer> copies = new HashMap<>();
         private final Set<String> assignedRunners = new HashSet<>();
+        private final Map<String, Double> losses = new HashMap<>();
+        private final Map<String, Double> workByRunner = new HashMap<>();
         private final boolean mayDisplace;
         private int storeLoadsLeft;
         private double laterStoreLoadsLeft;
@@ -205,8 +210,17 @@
             return value(model, workMillis).ofCopy(1);
         }
 
+        private void addCopies(String model, int number) {
+            copies.merge(model, number, Integer::sum);
+            losses.remove(model);
+        }
+
         /** Returns what a model loses with its last counted copy. */
         private double lossOfLast(String model) {
+            return losses.computeIfAbsent(model, this::computeLossOfLast);
+        }
+
+        private double computeLossOfLast(String model) {
             int present = copies.get(model);
             if (present > 1) {
                 return value(model, rate(model).expected()).ofCopy(present);
@@ -253,23 +267,29 @@
         /** Returns the most valuable move that is worth its price; empty if there is none. */
         private Optional<Move> bestMove() {
             Move best = null;
-            for (String model : engine.models().keySet()) {
-                double gain = gainOfNext(model);
-                boolean absent = copies.get(model) == 0;
-                if ((!absent && gain < settings.minFreeGainMillis())
-                        || (best != null && gain * settings.horizonSeconds() <= best.net())) {
-                    continue;
+            for (Candidate candidate : candidates()) {
+                if (best != null && candidate.gain() * settings.horizonSeconds() <= best.net()) {
+                    break;
+                }
+                Optional<Move> move = bestMove(candidate.model(), candidate.gain(), candidate.absent());
+                if (move.isPresent() && (best == null || move.get().net() > best.net())) {
+                    best = move.get();
                 }
-                Optional<Move> move = bestMove(model, gain, absent);
-                boolean better = move.isPresent()
-                        && (best == null
-                                || move.get().net() > best.net()
-                                || (move.get().net() == best.net() && model.compareTo(best.model()) < 0));
-                best = better ? move.get() : best;
             }
             return Optional.ofNullable(best);
         }
 
+        /** Returns the models that another copy may be worth its place for, by gain, highest first. */
+        private List<Candidate> candidates() {
+            return engine.models().keySet().stream()
+                    .map(model -> new Candidate(model, gainOfNext(model), copies.get(model) == 0))
+                    .filter(candidate -> candidate.absent() || candidate.gain() >= settings.minFreeGainMillis())
+                    .sorted(Comparator.comparingDouble(Candidate::gain)
+                            .reversed()
+                            .thenComparing(Candidate::model))
+                    .toList();
+        }
+
         private Optional<Move> bestMove(String model, double gain, boolean absent) {
             double highest = gain * settings.horizonSeconds();
             List<Runner> eligible = runners.stream()
@@ -385,7 +405,7 @@
             if (!move.runner().ledger().hasLocalCopy(move.model())) {
                 laterStoreLoadsLeft--;
             }
-            copies.merge(move.model(), 1, Integer::sum);
+            addCopies(move.model(), 1);
             return unload(move.runner(), move.victims().get(0), move.model());
         }
 
@@ -396,7 +416,7 @@
             }
             assignedRunners.add(runner.id());
             if (!runner.reservedFor().equals(model)) {
-                copies.merge(model, 1, Integer::sum);
+                addCopies(model, 1);
             }
             String reason = String.format(
                     Locale.ROOT,
@@ -410,7 +430,7 @@
         private PlannedOrder unload(Runner runner, String victim, String beneficiary) {
             assignedRunners.add(runner.id());
             double loss = lossOfLast(victim);
-            copies.merge(victim, -1, Integer::sum);
+            addCopies(victim, -1);
             String reason = String.format(
                     Locale.ROOT,
                     "room_for=%s work_ms=%.0f loss_ms=%.1f copies_left=%d",
@@ -423,6 +443,10 @@
         }
 
         private double workOn(Runner runner) {
+            return workByRunner.computeIfAbsent(runner.id(), id -> computeWorkOn(runner));
+        }
+
+        private double computeWorkOn(Runner runner) {
             double sum = 0;
             for (String model : runner.ledger().models()) {
                 sum += rate(model).expected() / Math.max(1, copies.getOrDefault(model, 1));
