Show that a late order overloads a runner that started again under its id

Looked at: how the placement holder accounts for orders without an answer (OrderQueue, RunnerLedger, ResidencyController). The expected count of orders protects one process of a runner. A process that starts again under the same id counts from 0, gets an empty ledger, and accepts an old order once its count equals the order's precondition.

--- a/review/standins/org/agatehatch/platform/RawServer.java
+++ b/review/standins/org/agatehatch/platform/RawServer.java
@@ -6,12 +6,16 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 /** A server that leaves each answer to a script, byte by byte. */
 final class RawServer implements AutoCloseable {
@@ -42,14 +46,41 @@
         boolean answer(int connection, Request request, OutputStream out) throws IOException;
     }
 
+    /** Answers the requests of a connection, and may find out whether the peer has closed it. */
+    interface SocketScript {
+        /** Writes the answer and returns whether the connection stays open. */
+        boolean answer(int connection, Request request, Socket socket) throws IOException;
+    }
+
     private final ServerSocket listener;
-    private final Script script;
+    private final SocketScript script;
+    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private int connections;
 
     RawServer(Script script) throws IOException {
-        this.listener = new ServerSocket(0, 64, InetAddress.getByName("127.0.0.1"));
+        this((connection, request, socket) -> script.answer(connection, request, socket.getOutputStream()), "scripted");
+    }
+
+    /**
+     * Starts a server.
+     *
+     * @param name name of its threads
+     */
+    RawServer(SocketScript script, String name) throws IOException {
+        this(script, name, 0);
+    }
+
+    /**
+     * Starts a server on a port.
+     *
+     * @param port 0 for any free one
+     */
+    RawServer(SocketScript script, String name, int port) throws IOException {
+        this.listener = new ServerSocket();
+        listener.setReuseAddress(true);
+        listener.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), 64);
         this.script = script;
-        start("accept", this::accept);
+        start(name + "-accept", this::accept);
     }
 
     int port() {
@@ -67,6 +98,7 @@
             try {
                 Socket socket = listener.accept();
                 socket.setTcpNoDelay(true);
+                sockets.add(socket);
                 int number = ++connections;
                 start("connection-" + number, () -> serve(number, socket));
             } catch (IOException e) {
@@ -79,12 +111,40 @@
         try (socket) {
             InputStream in = new BufferedInputStream(socket.getInputStream());
             Request request = read(in);
-            while (request != null && script.answer(number, request, socket.getOutputStream())) {
+            while (request != null && script.answer(number, request, socket)) {
                 request = read(in);
             }
         } catch (IOException e) {
             // The peer closed the connection.
             return;
+        } finally {
+            sockets.remove(socket);
+        }
+    }
+
+    /** Ends the server as the crash of its process does: all connections are reset, and new ones are refused. */
+    void crash() throws IOException {
+        listener.close();
+        for (Socket socket : sockets) {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+    }
+
+    /** Waits and returns whether the peer has closed the connection meanwhile. The peer must not send anything. */
+    static boolean closesWithin(Socket socket, int millis) throws IOException {
+        int before = socket.getSoTimeout();
+        socket.setSoTimeout(millis);
+        try {
+            return socket.getInputStream().read() < 0;
+        } catch (SocketTimeoutException e) {
+            return false;
+        } catch (IOException e) {
+            return true;
+        } finally {
+            if (!socket.isClosed()) {
+                socket.setSoTimeout(before);
+            }
         }
     }
 
