--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# TROUBLE=0 plays the same without the pause.
+# TROUBLE=0 plays the same without the late order and the crash.
 cd "$(dirname "$0")/../.."
 TROUBLE="${TROUBLE:-1}" exec java -Xmx256m -cp "target/review:target/agatehatch-edge.jar:target/lib/*" \
-    org.agatehatch.platform.PausedStream review/4
+    org.agatehatch.platform.LateOrder review/4
--- a/review/standins/org/agatehatch/platform/RawServer.java
+++ b/review/standins/org/agatehatch/platform/RawServer.java
@@ -122,7 +122,7 @@
         }
     }
 
-    /** Ends the server as the crash of its process does: all connections are reset, and new ones are refused. */
+    /** Ends the server with resets: all connections are reset, and new ones are refused. */
     void crash() throws IOException {
         listener.close();
         for (Socket socket : sockets) {
@@ -131,6 +131,14 @@
         }
     }
 
+    /** Ends the server as the kill of its process does: the kernel closes all connections, and new ones are refused. */
+    void kill() throws IOException {
+        listener.close();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+
     /** Waits and returns whether the peer has closed the connection meanwhile. The peer must not send anything. */
     static boolean closesWithin(Socket socket, int millis) throws IOException {
         int before = socket.getSoTimeout();
