--- a/review/standins/org/agatehatch/platform/Deployment.java
+++ b/review/standins/org/agatehatch/platform/Deployment.java
@@ -157,8 +157,15 @@
         record.add("operator writes configuration " + config.path("version").asLong());
     }
 
-    ObjectNode newObject() {
-        return json.createObjectNode();
+    /** Returns a configuration with the limits of the users' pages, and without routes and services. */
+    ObjectNode newConfig(long version) {
+        ObjectNode root = json.createObjectNode().put("version", version);
+        root.putObject("limits")
+                .put("maxHeaderBytes", 16_384)
+                .put("maxBodyBytes", 4_194_304)
+                .put("headerTimeoutMs", 3_000)
+                .put("idleTimeoutMs", 15_000);
+        return root;
     }
 
     /** Registers a server and renews its entry until it is changed. */
--- a/review/standins/org/agatehatch/platform/LateCopyOfRefusal.java
+++ b/review/standins/org/agatehatch/platform/LateCopyOfRefusal.java
@@ -69,17 +69,12 @@
     }
 
     private static ObjectNode config(Deployment deployment) {
-        ObjectNode root = deployment.newObject().put("version", 7);
+        ObjectNode root = deployment.newConfig(7);
         ObjectNode route = root.withArray("routes").addObject();
         route.put("name", "r-orders").put("host", "desk.example").put("pathPrefix", "/orders/");
         route.put("routeKind", "unsafe").put("timeoutMs", 1_000).put("targetLatencyMs", 193);
         route.put("priority", 2).put("service", SERVICE).put("maxAttempts", 1).put("resumable", false);
         root.withArray("services").addObject().put("name", SERVICE).put("healthPath", "/health").put("maxConns", 110);
-        root.putObject("limits")
-                .put("maxHeaderBytes", 16_384)
-                .put("maxBodyBytes", 4_194_304)
-                .put("headerTimeoutMs", 3_000)
-                .put("idleTimeoutMs", 15_000);
         return root;
     }
 
--- a/review/standins/org/agatehatch/platform/LateOrder.java
+++ b/review/standins/org/agatehatch/platform/LateOrder.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -41,6 +42,7 @@
     private final Map<String, Set<String>> held = new TreeMap<>();
     private final Set<String> onDisk = new TreeSet<>();
     private final Map<String, Integer> statuses = new TreeMap<>();
+    private volatile Optional<IOException> failure = Optional.empty();
     private Deployment deployment;
     private RawServer server;
     private int port;
@@ -87,6 +89,9 @@
             tick();
         }
         record.add("answers by model: " + statuses);
+        if (failure.isPresent()) {
+            throw failure.get();
+        }
         return !overloaded;
     }
 
@@ -104,7 +109,7 @@
     }
 
     private ObjectNode config() {
-        ObjectNode root = deployment.newObject().put("version", 7);
+        ObjectNode root = deployment.newConfig(7);
         ObjectNode route = root.withArray("routes").addObject();
         route.put("name", "r-chat").put("host", "tutor.example").put("pathPrefix", "/chat/");
         route.put("routeKind", "streaming").put("timeoutMs", 5_000).put("targetLatencyMs", 800);
@@ -120,11 +125,6 @@
             models.addObject().put("name", name).put("weightsMb", WEIGHTS_MB).put("loadS", STORE_LOAD_MILLIS / 1e3)
                     .put("adapters", 4).put("adapterMb", 66.0).put("warmS", 0.4).put("diskS", DISK_LOAD_MILLIS / 1e3);
         }
-        root.putObject("limits")
-                .put("maxHeaderBytes", 16_384)
-                .put("maxBodyBytes", 4_194_304)
-                .put("headerTimeoutMs", 3_000)
-                .put("idleTimeoutMs", 15_000);
         return root;
     }
 
@@ -236,7 +236,7 @@
             try {
                 crashAndRestart();
             } catch (IOException e) {
-                record.add("the runner did not start again: " + e);
+                failure = Optional.of(e);
             }
         });
         crash.setDaemon(true);
@@ -322,7 +322,7 @@
             try {
                 server.crash();
             } catch (IOException e) {
-                record.add("the runner did not end: " + e);
+                failure = Optional.of(e);
             }
             return 0;
         }
--- a/review/standins/org/agatehatch/platform/PausedStream.java
+++ b/review/standins/org/agatehatch/platform/PausedStream.java
@@ -87,7 +87,7 @@
     }
 
     private static ObjectNode config(Deployment deployment) {
-        ObjectNode root = deployment.newObject().put("version", 7);
+        ObjectNode root = deployment.newConfig(7);
         ObjectNode route = root.withArray("routes").addObject();
         route.put("name", "r-review").put("host", "tutor.example").put("pathPrefix", "/review/");
         route.put("routeKind", "streaming").put("timeoutMs", 6_000).put("targetLatencyMs", 1_500);
@@ -101,11 +101,6 @@
         ObjectNode model = engine.putArray("models").addObject();
         model.put("name", MODEL).put("weightsMb", 72_700.0).put("loadS", 1.2).put("adapters", 0);
         model.put("adapterMb", 66.0).put("warmS", 0.4).put("diskS", 0.52);
-        root.putObject("limits")
-                .put("maxHeaderBytes", 16_384)
-                .put("maxBodyBytes", 4_194_304)
-                .put("headerTimeoutMs", 3_000)
-                .put("idleTimeoutMs", 15_000);
         return root;
     }
 
--- a/review/standins/org/agatehatch/platform/UnframedStream.java
+++ b/review/standins/org/agatehatch/platform/UnframedStream.java
@@ -5,6 +5,7 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -30,6 +31,7 @@
     private int port;
     private boolean struck;
     private boolean held = true;
+    private volatile Optional<Exception> failure = Optional.empty();
 
     private UnframedStream(Record record, boolean trouble) {
         this.record = record;
@@ -51,6 +53,9 @@
         for (int i = 0; i < STREAMS; i++) {
             stream("stream" + i);
         }
+        if (failure.isPresent()) {
+            throw failure.get();
+        }
         return held;
     }
 
@@ -60,18 +65,13 @@
     }
 
     private ObjectNode config() {
-        ObjectNode root = deployment.newObject().put("version", 7);
+        ObjectNode root = deployment.newConfig(7);
         ObjectNode route = root.withArray("routes").addObject();
         route.put("name", "r-history").put("host", "advisor.example").put("pathPrefix", "/history/");
         route.put("routeKind", "streaming").put("timeoutMs", 6_000).put("targetLatencyMs", 800);
         route.put("priority", 2).put("service", SERVICE).put("maxAttempts", 1);
         route.put("resumable", false).put("gapTargetMs", 250);
         root.withArray("services").addObject().put("name", SERVICE).put("healthPath", "/health").put("maxConns", 370);
-        root.putObject("limits")
-                .put("maxHeaderBytes", 16_384)
-                .put("maxBodyBytes", 4_194_304)
-                .put("headerTimeoutMs", 3_000)
-                .put("idleTimeoutMs", 15_000);
         return root;
     }
 
@@ -133,7 +133,7 @@
             Deployment.pause(FREEZE_MILLIS - CRASH_AFTER_MILLIS - DOWN_MILLIS);
             signal("CONT");
         } catch (IOException | InterruptedException e) {
-            record.add("the disruption failed: " + e);
+            failure = Optional.of(e);
         }
     }
 
--- a/review/standins/org/agatehatch/platform/UpgradedRunner.java
+++ b/review/standins/org/agatehatch/platform/UpgradedRunner.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -37,6 +38,7 @@
     private final int[] ports = new int[RUNNERS];
     private final Map<String, Set<String>> versionsByStream = new ConcurrentHashMap<>();
     private final Map<String, AtomicInteger> results = new ConcurrentHashMap<>();
+    private volatile Optional<IOException> failure = Optional.empty();
     private Deployment deployment;
 
     private UpgradedRunner(Record record, boolean trouble) {
@@ -79,6 +81,9 @@
         for (Thread client : clients) {
             client.join(8_000);
         }
+        if (failure.isPresent()) {
+            throw failure.get();
+        }
         return judge();
     }
 
@@ -97,7 +102,7 @@
                 Deployment.pause(BETWEEN_UPGRADES_MILLIS);
             }
         } catch (IOException e) {
-            record.add("the runner was not restarted: " + e);
+            failure = Optional.of(e);
         }
     }
 
@@ -120,18 +125,13 @@
     }
 
     private ObjectNode config() {
-        ObjectNode root = deployment.newObject().put("version", 7);
+        ObjectNode root = deployment.newConfig(7);
         ObjectNode route = root.withArray("routes").addObject();
         route.put("name", "r-review").put("host", "tutor.example").put("pathPrefix", "/review/");
         route.put("routeKind", "streaming").put("timeoutMs", 6_000).put("targetLatencyMs", 1_500);
         route.put("priority", 1).put("service", SERVICE).put("maxAttempts", 2);
         route.put("resumable", true).put("gapTargetMs", 250);
         root.withArray("services").addObject().put("name", SERVICE).put("healthPath", "/health").put("maxConns", 360);
-        root.putObject("limits")
-                .put("maxHeaderBytes", 16_384)
-                .put("maxBodyBytes", 4_194_304)
-                .put("headerTimeoutMs", 3_000)
-                .put("idleTimeoutMs", 15_000);
         return root;
     }
 
