Decode chunks in the scripts' clients and keep one case inside its dose

Looked at: one run of case 3 named a second stream that had ended early. The client counted lines in the raw bytes, so that a chunk that began within a line hid an event. Cases 2 and 5 read answers in the same way. Case 3 also left all answers without framing, more than the site's dose.

ClientAnswer removes the framing for all three. Case 3 has two runners, and one unframed stream of 30.

--- a/review/standins/org/agatehatch/platform/PausedStream.java
+++ b/review/standins/org/agatehatch/platform/PausedStream.java
@@ -117,10 +117,10 @@
                             + PROMPT_TOKENS
                             + "\r\nX-Agatehatch-Deadline-Ms: 6000\r\nConnection: close\r\nContent-Length: "
                             + body.length() + "\r\n\r\n" + body);
-            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-            long events = answer.lines().filter(line -> line.startsWith("id: ")).count();
-            record.add("client: " + id + ": " + answer.lines().findFirst().orElse("no answer") + ", " + events
-                    + " events, " + (answer.endsWith("0\r\n\r\n") ? "complete" : "cut"));
+            ClientAnswer answer = ClientAnswer.of(socket.getInputStream().readAllBytes());
+            long events = answer.body.lines().filter(line -> line.startsWith("id: ")).count();
+            record.add("client: " + id + ": " + answer.statusLine + ", " + events
+                    + " events, " + (answer.complete ? "complete" : "cut"));
         }
     }
 
--- a/review/standins/org/agatehatch/platform/UnframedStream.java
+++ b/review/standins/org/agatehatch/platform/UnframedStream.java
@@ -4,22 +4,22 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /**
- * A stream without length or chunks is broken off by the crash of its runner. The node stands still meanwhile, and goes on when the
- * runner has started again at its address.
+ * One stream of thirty comes without length or chunks, and is broken off by the crash of its runner, one of two. The node stands still
+ * meanwhile, and goes on when the runner has started again at its address.
  */
 final class UnframedStream {
     private static final String SERVICE = "advisor";
-    private static final String ID = "i-advisor-1";
+    private static final String ID_PREFIX = "i-advisor-";
+    private static final int RUNNERS = 2;
     private static final int EVENTS = 13;
-    private static final int EVENT_MILLIS = 100;
-    private static final int STREAMS = 8;
-    private static final int BROKEN_OFF = 4;
-    private static final int EVENTS_BEFORE_FREEZE = 3;
+    private static final int EVENT_MILLIS = 50;
+    private static final int STREAMS = 30;
+    private static final int UNFRAMED = 20;
+    private static final int EVENTS_BEFORE_FREEZE = 2;
     private static final long FREEZE_MILLIS = 2_700;
     private static final long CRASH_AFTER_MILLIS = 250;
     private static final long DOWN_MILLIS = 2_000;
@@ -27,8 +27,8 @@
     private final Record record;
     private final boolean trouble;
     private Deployment deployment;
-    private RawServer server;
-    private int port;
+    private final RawServer[] servers = new RawServer[RUNNERS];
+    private final int[] ports = new int[RUNNERS];
     private boolean struck;
     private boolean held = true;
     private volatile Optional<Exception> failure = Optional.empty();
@@ -45,8 +45,10 @@
     private boolean run(Deployment parts) throws Exception {
         deployment = parts;
         deployment.configure(config());
-        startRunner();
-        deployment.register(ID, SERVICE, port, 64);
+        for (int i = 0; i < RUNNERS; i++) {
+            startRunner(i);
+            deployment.register(ID_PREFIX + i, SERVICE, ports[i], 64);
+        }
         deployment.startNode(0);
         deployment.awaitReady(0);
         Deployment.pause(1_000);
@@ -59,9 +61,12 @@
         return held;
     }
 
-    private void startRunner() throws IOException {
-        server = new RawServer((connection, request, socket) -> answer(request, socket.getOutputStream()), "runner", port);
-        port = server.port();
+    private void startRunner(int index) throws IOException {
+        servers[index] = new RawServer(
+                (connection, request, socket) -> answer(index, request, socket.getOutputStream()),
+                "runner-" + index,
+                ports[index]);
+        ports[index] = servers[index].port();
     }
 
     private ObjectNode config() {
@@ -86,50 +91,57 @@
                     "POST /history/1 HTTP/1.1\r\nHost: advisor.example\r\nX-Agatehatch-Attempt-Id: " + id
                             + "\r\nX-Agatehatch-Deadline-Ms: 6000\r\nConnection: close\r\nContent-Length: "
                             + body.length() + "\r\n\r\n" + body);
-            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-            long events = answer.lines().filter(line -> line.startsWith("id: ")).count();
-            boolean complete = answer.endsWith("0\r\n\r\n");
-            record.add("client: " + id + ": " + answer.lines().findFirst().orElse("no answer") + ", " + events + " of "
-                    + EVENTS + " events, " + (complete ? "ends as complete" : "broken off"));
-            if (answer.startsWith("HTTP/1.1 200") && complete && events < EVENTS) {
+            ClientAnswer answer = ClientAnswer.of(socket.getInputStream().readAllBytes());
+            long events = answer.body.lines().filter(line -> line.startsWith("id: ")).count();
+            record.add("client: " + id + ": " + answer.statusLine + ", " + events + " of "
+                    + EVENTS + " events, " + (answer.complete ? "ends as complete" : "broken off"));
+            if (answer.statusLine.startsWith("HTTP/1.1 200") && answer.complete && events < EVENTS) {
                 record.add("ORDER: " + id + " ends as complete after event " + events);
                 held = false;
             }
         }
     }
 
-    private boolean answer(RawServer.Request request, OutputStream out) throws IOException {
+    private boolean answer(int runner, RawServer.Request request, OutputStream out) throws IOException {
         String id = request.attempt();
-        record.add("runner: begins " + id);
+        boolean unframed = id.equals("stream" + UNFRAMED);
+        record.add("runner " + runner + ": begins " + id + (unframed ? ", without length or chunks" : ""));
         RawServer.write(
                 out,
                 "HTTP/1.1 200 OK\r\nX-Agatehatch-Attempt-Id: " + id + "\r\nX-Agatehatch-Response-Seal: s." + id
-                        + "\r\nContent-Type: text/event-stream\r\n\r\n");
+                        + "\r\nContent-Type: text/event-stream\r\n"
+                        + (unframed ? "" : "Transfer-Encoding: chunked\r\n") + "\r\n");
         for (int event = 1; event <= EVENTS; event++) {
-            RawServer.write(out, "id: " + event + "\ndata: tokens of " + id + "\n\n");
-            if (trouble && !struck && event == EVENTS_BEFORE_FREEZE && id.equals("stream" + BROKEN_OFF)) {
+            String text = "id: " + event + "\ndata: tokens of " + id + "\n\n";
+            RawServer.write(out, unframed ? text : Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+            if (trouble && !struck && unframed && event == EVENTS_BEFORE_FREEZE) {
                 struck = true;
-                Thread operator = new Thread(this::strike, "disruption");
+                Thread operator = new Thread(() -> strike(runner), "disruption");
                 operator.setDaemon(true);
                 operator.start();
             }
             Deployment.pause(EVENT_MILLIS);
         }
-        record.add("runner: ends " + id);
-        return false;
+        if (!unframed) {
+            RawServer.write(out, "0\r\n\r\n");
+        }
+        record.add("runner " + runner + ": ends " + id);
+        return !unframed;
     }
 
-    private void strike() {
+    private void strike(int runner) {
         try {
             signal("STOP");
             Deployment.pause(CRASH_AFTER_MILLIS);
-            server.kill();
-            record.add("runner: crashes");
+            servers[runner].kill();
+            record.add("runner " + runner + ": crashes");
             Deployment.pause(DOWN_MILLIS);
-            startRunner();
-            deployment.entry(ID).put("born", System.currentTimeMillis());
-            deployment.write(ID);
-            record.add("runner: starts again at its address and registers");
+            startRunner(runner);
+            synchronized (deployment) {
+                deployment.entry(ID_PREFIX + runner).put("born", System.currentTimeMillis());
+                deployment.write(ID_PREFIX + runner);
+            }
+            record.add("runner " + runner + ": starts again at its address and registers");
             Deployment.pause(FREEZE_MILLIS - CRASH_AFTER_MILLIS - DOWN_MILLIS);
             signal("CONT");
         } catch (IOException | InterruptedException e) {
--- a/review/standins/org/agatehatch/platform/UpgradedRunner.java
+++ b/review/standins/org/agatehatch/platform/UpgradedRunner.java
@@ -4,7 +4,6 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -145,12 +144,12 @@
                     "POST /review/1 HTTP/1.1\r\nHost: tutor.example\r\nX-Agatehatch-Attempt-Id: " + id
                             + "\r\nX-Agatehatch-Deadline-Ms: 6000\r\nConnection: close\r\nContent-Length: "
                             + body.length() + "\r\n\r\n" + body);
-            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            ClientAnswer answer = ClientAnswer.of(socket.getInputStream().readAllBytes());
             Set<String> versions = new TreeSet<>();
-            answer.lines().filter(line -> line.startsWith("data: ")).forEach(line -> versions.add(line.substring(6)));
+            answer.body.lines().filter(line -> line.startsWith("data: ")).forEach(line -> versions.add(line.substring(6)));
             versionsByStream.put(id, versions);
-            String end = answer.endsWith("0\r\n\r\n") ? "complete" : "cut";
-            String result = answer.lines().findFirst().orElse("no answer") + " " + end;
+            String end = answer.complete ? "complete" : "cut";
+            String result = answer.statusLine + " " + end;
             results.computeIfAbsent(result, key -> new AtomicInteger()).incrementAndGet();
             if (versions.size() > 1) {
                 record.add("client: " + id + ": events of " + versions + " in one answer, " + end);
