Send an attempt at most once on each connection

Cause: all sends of a request carry the caller's attempt id. The second send went out on the connection of the first one, where a late copy of the first response has the right place and the right id. The same happened after a 421 of a server without the model.

Change: AttemptSender keeps the connections that have carried a request, and acquires others for its next sends. On each connection the id is therefore sent once, and a copy of an earlier response arrives elsewhere: it is skipped by its id, or closes its idle connection. A response without an id is taken for the answer only on a connection that has carried no request before.

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/BackendConnectionPool.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/BackendConnectionPool.java
@@ -14,6 +14,7 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.agatehatch.api.fleet.PeerAddress;
 import org.agatehatch.api.time.MonotonicClock;
 
@@ -73,8 +74,23 @@
      * @param process identifies the process at the address, so that a connection to an earlier process is not reused
      */
     public void acquire(PeerAddress address, String process, long maxIdleMillis, AcquireListener acquirer) {
+        acquire(address, process, maxIdleMillis, connection -> true, acquirer);
+    }
+
+    /**
+     * Acquires a connection that has been idle for less than the given time and may be reused, or opens one.
+     *
+     * @param process identifies the process at the address, so that a connection to an earlier process is not reused
+     * @param reusable whether a pooled connection may carry the request; a new one always may
+     */
+    public void acquire(
+            PeerAddress address,
+            String process,
+            long maxIdleMillis,
+            Predicate<BackendConnection> reusable,
+            AcquireListener acquirer) {
         Endpoint endpoint = endpoints.computeIfAbsent(address + "/" + process, key -> new Endpoint());
-        BackendConnection pooled = endpoint.takeUsable(maxIdleMillis);
+        BackendConnection pooled = endpoint.takeUsable(maxIdleMillis, reusable);
         if (pooled != null) {
             acquirer.onConnection(pooled);
             return;
@@ -138,11 +154,11 @@
 
         private int openConnections;
 
-        private BackendConnection takeUsable(long maxIdleMillis) {
+        private BackendConnection takeUsable(long maxIdleMillis, Predicate<BackendConnection> reusable) {
             Iterator<BackendConnection> newestFirst = idle.iterator();
             while (newestFirst.hasNext()) {
                 BackendConnection connection = newestFirst.next();
-                if (connection.isUsable(maxIdleMillis)) {
+                if (connection.isUsable(maxIdleMillis) && reusable.test(connection)) {
                     newestFirst.remove();
                     return connection;
                 }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/metrics/GatewayMetrics.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/metrics/GatewayMetrics.java
@@ -24,6 +24,7 @@
     private final Counter brokenAttempts;
     private final Counter closeEndedAnswers;
     private final Counter answersInDoubt;
+    private final Counter skippedResponses;
     private final Counter strikes;
     private final Gauge quarantinedParts;
     private final Counter refusedForPart;
@@ -63,6 +64,9 @@
         answersInDoubt = counter(
                 "agatehatch_close_ended_answers_in_doubt",
                 "Answers that an orderly close ended and whose server did not accept a connection afterwards");
+        skippedResponses = counter(
+                "agatehatch_skipped_responses",
+                "Responses of servers that named another attempt than the one in flight on their connection");
         strikes = counter(
                 "agatehatch_crash_strikes",
                 "Requests in flight at a server process that is known to have died, by who saw it: this node or a peer",
@@ -150,6 +154,11 @@
         answersInDoubt.inc();
     }
 
+    /** Counts a response that named another attempt than the one in flight on its connection. */
+    public void responseSkipped() {
+        skippedResponses.inc();
+    }
+
     /** Counts a crash that was attributed to a request. */
     public void crashStrike(boolean own) {
         strikes.labelValues(own ? "own" : "peer").inc();
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
@@ -73,7 +73,7 @@
         exchange.metadata()
                 .generation()
                 .ifPresent(generation -> exchange.context().demandMeter().requestSent(server().service(), generation));
-        exchange.acquire(choice.server(), this);
+        exchange.sender().acquire(choice.server(), this);
     }
 
     /** Abandons the attempt and closes its connection, upon which the server stops working on the request. */
@@ -180,7 +180,13 @@
             exchange.context().metrics().sentToLimitedServer();
         }
         startSilenceTimer();
-        acquired.send(exchange.buildAttemptRequest(choice.server()), this);
+        exchange.sender()
+                .send(
+                        acquired,
+                        server(),
+                        exchange.remainingMillis(),
+                        exchange.relay().lastEventId(),
+                        this);
     }
 
     @Override
@@ -196,9 +202,15 @@
         boolean forOtherAttempt = !terms.attemptId().isEmpty()
                 && !terms.attemptId().equals(exchange.metadata().attemptId());
         if (forOtherAttempt) {
+            exchange.context().metrics().responseSkipped();
             return Disposition.SKIP;
         }
         headReceived = true;
+        if (!isOwn(terms)) {
+            abort(AttemptEnd.BROKEN, "response without an attempt id on a reused connection");
+            return Disposition.ACCEPT;
+        }
+        closedServer = terms.closedForMillis().isPresent() && !terms.misdirected();
         lastReceivedMillis = exchange.nowMillis();
         int status = head.status().code();
         recordLimit(terms);
@@ -224,6 +236,13 @@
         return Disposition.ACCEPT;
     }
 
+    /** A response without an id may belong to an earlier request of its connection if there was one. */
+    private boolean isOwn(HeaderCodec.ResponseMetadata terms) {
+        boolean firstOnConnection =
+                connection.map(open -> open.requestCount() == 1).orElse(false);
+        return !terms.attemptId().isEmpty() || firstOnConnection;
+    }
+
     /** Any answer of the server itself counts, also a late one to another attempt. */
     private void recordAvailability(HeaderCodec.ResponseMetadata terms) {
         if (terms.misdirected()) {
@@ -233,7 +252,6 @@
             exchange.context().availability().recordLeaving(server());
         }
         if (terms.closedForMillis().isPresent()) {
-            closedServer = true;
             exchange.context()
                     .availability()
                     .recordClosed(server(), terms.closedForMillis().getAsLong());
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Exchange.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Exchange.java
@@ -1,12 +1,9 @@
 package org.agatehatch.gateway.request;
 
-import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import java.util.HashSet;
 import java.util.List;
@@ -18,9 +15,7 @@
 import java.util.stream.Stream;
 import org.agatehatch.api.fleet.FleetConfig;
 import org.agatehatch.api.fleet.RouteSpec;
-import org.agatehatch.api.fleet.ServerEntry;
 import org.agatehatch.gateway.HeaderCodec;
-import org.agatehatch.gateway.connection.BackendConnectionPool;
 import org.agatehatch.gateway.connection.CallerRequest;
 import org.agatehatch.gateway.connection.RequestHandler;
 import org.agatehatch.gateway.connection.ResponseSink;
@@ -64,6 +59,7 @@
     private final ServerWait serverWait;
     private ForwardingStateMachine machine;
     private ResponseRelay relay;
+    private AttemptSender sender;
     private long deadlineMillis;
     private long fingerprint;
     private List<String> sharedParts = List.of();
@@ -117,6 +113,7 @@
     private void startForwarding() {
         service = TrafficSplit.pick(route.services(), context.random());
         machine = new ForwardingStateMachine(route, () -> context.retryBudget().tryTake(service));
+        sender = new AttemptSender(context, request, route);
         relay = new ResponseRelay(sink, route.streaming() && route.resumable());
         fingerprint =
                 RequestHash.of(request.head().method().name(), request.head().uri(), request.body());
@@ -481,37 +478,6 @@
         context.crashes().answerSurvived(sharedParts, begunMillis);
     }
 
-    /** Builds the request to a backend server: the caller's request without hop-by-hop headers, with the attempt's headers. */
-    DefaultFullHttpRequest buildAttemptRequest(ServerEntry server) {
-        DefaultFullHttpRequest copy = new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1,
-                request.head().method(),
-                request.head().uri(),
-                Unpooled.wrappedBuffer(request.body()));
-        HttpHeaders headers = ConnectionHeaders.withoutHopByHop(request.head().headers());
-        headers.remove(HttpHeaderNames.CONTENT_LENGTH);
-        boolean hasBody = request.body().length > 0
-                || request.head().headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-                || request.head().headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
-        if (hasBody) {
-            headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
-        }
-        OptionalLong remaining = OptionalLong.of(Math.max(1, remainingMillis()));
-        context.headerCodec()
-                .writeAttempt(
-                        headers,
-                        new HeaderCodec.AttemptMetadata(
-                                remaining, server.id(), Urgency.of(route), relay.lastEventId()));
-        copy.headers().set(headers);
-        return copy;
-    }
-
-    void acquire(ServerEntry server, BackendConnectionPool.AcquireListener listener) {
-        long maxIdleMillis =
-                route.repeatable() ? Long.MAX_VALUE : context.timeouts().nonRepeatableMaxIdleMillis();
-        context.connectionPool().acquire(server.address(), server.processKey(), maxIdleMillis, listener);
-    }
-
     void onSent(Attempt attempt) {
         machine.onSent();
         attempt.setReading(sink.isWritable());
@@ -542,6 +508,10 @@
         return relay;
     }
 
+    AttemptSender sender() {
+        return sender;
+    }
+
     String service() {
         return service;
     }
@@ -568,7 +538,7 @@
                 : Math.min(remainingMillis(), arrivedMillis + route.patienceMillis() - nowMillis());
     }
 
-    private long remainingMillis() {
+    long remainingMillis() {
         return deadlineMillis - nowMillis();
     }
 
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/ScriptedServer.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/ScriptedServer.java
@@ -27,8 +27,9 @@
     }
 
     /**
-     * A response and what the server does afterwards. In its bytes, {@code ID} stands for the attempt's id, and {@code PAUSE} for
-     * a pause that lasts until {@link Script#resume()}.
+     * A response and what the server does afterwards. In its bytes, {@code ID} stands for the attempt's id, {@code COPY} for a
+     * second copy of the response before on the same connection, if there is one, and {@code PAUSE} for a pause that lasts
+     * until {@link Script#resume()}.
      */
     record ScriptedResponse(String bytes, AfterResponse afterResponse) {}
 
@@ -91,6 +92,7 @@
     private void serve(Socket socket) throws IOException {
         InputStream in = socket.getInputStream();
         OutputStream out = socket.getOutputStream();
+        String lastResponse = "";
         while (true) {
             String request = read(in);
             if (request.isEmpty()) {
@@ -99,8 +101,9 @@
                 return;
             }
             ScriptedResponse response = script.next(request);
-            String[] parts =
-                    response.bytes().replace("ID", header(request, "x-id")).split("PAUSE", -1);
+            String own = response.bytes().replace("ID", header(request, "x-id"));
+            String[] parts = own.replace("COPY", lastResponse).split("PAUSE", -1);
+            lastResponse = own.replace("COPY", "").replace("PAUSE", "");
             for (int i = 0; i < parts.length; i++) {
                 if (i > 0) {
                     script.resumptions.acquireUninterruptibly();
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestGateway.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestGateway.java
@@ -57,6 +57,9 @@
     volatile boolean leaving;
     volatile boolean refusing;
     volatile boolean viewIsRecent = true;
+    /** Whether all servers load each requested model at once. */
+    volatile boolean loadsModels;
+
     final ActiveConfig config = new ActiveConfig();
     final GatewayMetrics metrics = new GatewayMetrics();
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -114,7 +117,13 @@
                 chooser,
                 pool,
                 new WindowedRetryBudget(clock, 0.2, retrySlack, 10_000, () -> 1),
-                (service, model, adapter) -> CompletableFuture.completedFuture(-1L),
+                (service, model, adapter) -> {
+                    if (!loadsModels) {
+                        return CompletableFuture.completedFuture(-1L);
+                    }
+                    entries.forEach(server -> sightings.markResident(server, model, adapter));
+                    return CompletableFuture.completedFuture(0L);
+                },
                 new DemandMeter(38.7, service -> 8, clock),
                 new CrashAttribution(
                         new PoisonRequestDetector(clock, (strike, strikes, own) -> {}),
