Keep room for late orders at a runner that has started again

Cause: an order without a reply may be executed seconds later if the runner's count of accepted orders equals the expected one. A new process counts from 0 and reaches each number once more, but the record of such orders belonged to the queue of the former process. That queue also went on sending its own queued orders, with the former process's counts.

An order is sent, and planned, only if the runner has room for all late orders that the new count makes possible, one after the other, in memory and in adapter slots. A queue that is replaced is closed and sends nothing more.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/OrderQueue.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/OrderQueue.java
@@ -3,11 +3,15 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
+import org.agatehatch.api.errors.AgatehatchException;
+import org.agatehatch.api.errors.Outcome;
 import org.agatehatch.api.fleet.EngineSpec;
 import org.agatehatch.api.fleet.ModelSpec;
 import org.agatehatch.api.fleet.ResidencyOrder;
@@ -83,11 +87,13 @@
     private final ResidencyOrders orders;
     private final ControlThread control;
     private final MonotonicClock clock;
+    private final UnansweredOrders unanswered;
     final RunnerLedger ledger;
     private final ArrayDeque<QueuedOrder> queue = new ArrayDeque<>();
     final Map<String, CompletableFuture<ResidencyMessages.Reply>> pendingAdapters = new HashMap<>();
     ServerEntry entry;
     private boolean orderInFlight;
+    private boolean closed;
     boolean unloadAnnounced;
     private String reservedModel = "";
     private long reservedUntilMillis = Long.MIN_VALUE;
@@ -107,10 +113,17 @@
             long expiresAtMillis) {}
 
     /** Creates an empty queue for the process that wrote an entry. */
-    OrderQueue(ServerEntry entry, Holder holder, ResidencyOrders orders, ControlThread control, MonotonicClock clock) {
+    OrderQueue(
+            ServerEntry entry,
+            Holder holder,
+            ResidencyOrders orders,
+            UnansweredOrders unanswered,
+            ControlThread control,
+            MonotonicClock clock) {
         this.entry = entry;
         this.holder = holder;
         this.orders = orders;
+        this.unanswered = unanswered;
         this.control = control;
         this.clock = clock;
         this.ledger = new RunnerLedger(entry);
@@ -123,6 +136,13 @@
         }
     }
 
+    /** Drops all orders that are not sent. Another queue takes over, with another record of the runner's state. */
+    void close() {
+        closed = true;
+        List.copyOf(queue).forEach(task -> task.result().complete(false));
+        queue.clear();
+    }
+
     void reserve(String model) {
         reservedModel = model;
         reservedUntilMillis = clock.millis() + RESERVATION_TIMEOUT_MILLIS;
@@ -136,7 +156,13 @@
 
     ResidencyPlanner.Runner plannerInput() {
         long busyForMillis = Math.max(0, ledger.busyUntilMillis() - clock.millis());
-        return new ResidencyPlanner.Runner(entry.id(), ledger, isBusy(), busyForMillis, reservedFor());
+        return new ResidencyPlanner.Runner(
+                entry.id(), ledger, isBusy(), busyForMillis, reservedFor(), this::leavesRoomForLateOrders);
+    }
+
+    private boolean leavesRoomForLateOrders(ResidencyOrder order, EngineSpec engine) {
+        return ledger.leavesRoomForLateOrders(
+                order, engine, ordersAccepted -> unanswered.expecting(entry.id(), ordersAccepted));
     }
 
     private boolean isBusy() {
@@ -147,7 +173,8 @@
     void refreshReport() {
         long nowMillis = clock.millis();
         boolean reportNeeded = !ledger.isKnown() || (ledger.busy() && nowMillis >= ledger.busyUntilMillis());
-        if (!reportNeeded
+        if (closed
+                || !reportNeeded
                 || reportInFlight
                 || orderInFlight
                 || nowMillis - lastReportReadMillis < REPORT_RETRY_MILLIS) {
@@ -210,9 +237,12 @@
         return result;
     }
 
-    boolean hasAdapterSlot(EngineSpec engine) {
-        return ledger.adapterCount() + pendingAdapters.size() < engine.adapterSlots()
-                || leastRecentlyUsedAdapter().isPresent();
+    /** Returns whether an adapter can be loaded now, with an unload before it if no slot is free. */
+    boolean canLoadAdapter(EngineSpec engine, ResidencyMessages.Request request) {
+        boolean slotFree = ledger.adapterCount() + pendingAdapters.size() < engine.adapterSlots();
+        ResidencyOrder load = new ResidencyOrder(ResidencyOrder.Action.LOAD, request.model(), request.adapter());
+        Optional<ResidencyOrder> first = slotFree ? Optional.of(load) : leastRecentlyUsedAdapter();
+        return first.filter(order -> leavesRoomForLateOrders(order, engine)).isPresent();
     }
 
     /** Returns an order to unload the least recently used adapter; empty if all of them may be in use. */
@@ -234,6 +264,10 @@
     }
 
     void submit(EngineSpec engine, ResidencyOrder order, CompletableFuture<Boolean> done) {
+        if (closed) {
+            done.complete(false);
+            return;
+        }
         queue.add(new QueuedOrder(engine, order, false, done, clock.millis() + ORDER_QUEUE_TIMEOUT_MILLIS));
         sendNext();
     }
@@ -245,7 +279,8 @@
     private void loadAfterUnload(EngineSpec engine) {
         String model = reservedFor();
         ModelSpec spec = engine.models().get(model);
-        boolean possible = spec != null
+        boolean possible = !closed
+                && spec != null
                 && ledger.freeMbAfterUnload(engine) >= holder.neededMb(spec)
                 && (ledger.hasLocalCopy(model) || holder.mayStartStoreLoad());
         if (!possible) {
@@ -267,6 +302,10 @@
         orderInFlight = true;
         control.schedule(CONFLICT_RETRY_MILLIS, () -> {
             orderInFlight = false;
+            if (closed) {
+                task.result().complete(false);
+                return;
+            }
             queue.addFirst(task);
             sendNext();
         });
@@ -275,12 +314,13 @@
     private void sendNext() {
         expireQueued();
         Optional<PlacementGrant> usable = holder.usableGrant();
-        if (orderInFlight || queue.isEmpty() || !ledger.isKnown() || usable.isEmpty()) {
+        if (closed || orderInFlight || queue.isEmpty() || !ledger.isKnown() || usable.isEmpty()) {
             return;
         }
         QueuedOrder task = queue.poll();
-        if (!task.followsUnload() && !ledger.fits(task.order(), task.engine())) {
-            log.info("event=order_withheld runner={} order=\"{}\" reason=no_room", entry.id(), task.order());
+        String obstacle = obstacle(task);
+        if (!obstacle.isEmpty()) {
+            log.info("event=order_withheld runner={} order=\"{}\" reason={}", entry.id(), task.order(), obstacle);
             task.result().complete(false);
             sendNext();
             return;
@@ -295,9 +335,27 @@
         orderInFlight = true;
         long expected = ledger.ordersAccepted();
         long token = usable.get().token();
+        UnansweredOrders.SentOrder sent = unanswered.onSent(entry.id(), task.order(), expected);
         orders.order(entry, task.order(), expected, holder.name(), token)
-                .whenComplete(
-                        (reply, failure) -> control.execute(() -> onReply(task, expected, token, reply, failure)));
+                .whenComplete((reply, failure) -> control.execute(() -> {
+                    if (failure == null || isNotRun(failure)) {
+                        unanswered.onSettled(sent);
+                    }
+                    onReply(task, expected, token, reply, failure);
+                }));
+    }
+
+    /** Returns why an order is not sent; empty if it is. */
+    private String obstacle(QueuedOrder task) {
+        if (!task.followsUnload() && !ledger.fits(task.order(), task.engine())) {
+            return "no_room";
+        }
+        return leavesRoomForLateOrders(task.order(), task.engine()) ? "" : "late_orders";
+    }
+
+    private static boolean isNotRun(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        return cause instanceof AgatehatchException known && known.outcome() == Outcome.NOT_RUN;
     }
 
     private void expireQueued() {
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/ResidencyController.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/ResidencyController.java
@@ -70,6 +70,7 @@
     private final Consumer<String> orderCounter;
     private final ResidencyPlanner planner;
     private final StoreLoadLimiter storeLoadLimiter;
+    private final UnansweredOrders unansweredOrders;
     private final Map<String, OrderQueue> orderQueues = new HashMap<>();
     private final DemandAggregator demand;
     private final Map<String, Long> lastReportMillisByNode = new HashMap<>();
@@ -113,6 +114,7 @@
         this.orderCounter = orderCounter;
         this.demand = new DemandAggregator(clock);
         this.planner = new ResidencyPlanner(ResidencyPlanner.Settings.DEFAULT);
+        this.unansweredOrders = new UnansweredOrders(clock);
         this.storeLoadLimiter = new StoreLoadLimiter(clock, loadWindowSeconds, loadOvershoot);
     }
 
@@ -209,7 +211,7 @@
         }
         Optional<OrderQueue> leastLoaded = serving.stream()
                 .filter(queue -> !queue.ledger.busy())
-                .filter(queue -> queue.hasAdapterSlot(engine.get()))
+                .filter(queue -> queue.canLoadAdapter(engine.get(), request))
                 .min(Comparator.comparingInt(
                                 (OrderQueue queue) -> queue.ledger.adapterCount() + queue.pendingAdapters.size())
                         .thenComparing(queue -> queue.entry.id()));
@@ -256,6 +258,7 @@
         boolean mayAct = usableGrant().isPresent();
         if (mayAct && !active) {
             // The orders and loads of the previous holder are not known to this node.
+            orderQueues.values().forEach(OrderQueue::close);
             orderQueues.clear();
             storeLoadLimiter.clear();
             activeSinceMillis = clock.millis();
@@ -327,13 +330,25 @@
                 .forEach(servers -> servers.forEach(entry -> {
                     present.add(entry.id());
                     OrderQueue queue = orderQueues.get(entry.id());
-                    if (queue == null || queue.ledger.startedAtMillis() != entry.startedAtMillis()) {
-                        orderQueues.put(entry.id(), new OrderQueue(entry, new Holder(), orders, control, clock));
-                    } else {
+                    if (queue != null && queue.ledger.startedAtMillis() == entry.startedAtMillis()) {
                         queue.onEntry(entry);
+                        return;
                     }
+                    closeQueue(entry.id());
+                    orderQueues.put(
+                            entry.id(), new OrderQueue(entry, new Holder(), orders, unansweredOrders, control, clock));
                 }));
-        orderQueues.keySet().retainAll(present);
+        Set<String> gone = new HashSet<>(orderQueues.keySet());
+        gone.removeAll(present);
+        gone.forEach(this::closeQueue);
+    }
+
+    /** An order of a queue that was replaced could match the count of orders of the runner's new process. */
+    private void closeQueue(String runner) {
+        OrderQueue queue = orderQueues.remove(runner);
+        if (queue != null) {
+            queue.close();
+        }
     }
 
     private Optional<EngineSpec> engine(String service) {
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/ResidencyPlanner.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/ResidencyPlanner.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiPredicate;
 import org.agatehatch.api.fleet.EngineSpec;
 import org.agatehatch.api.fleet.ModelSpec;
 import org.agatehatch.api.fleet.ResidencyOrder;
@@ -64,8 +65,15 @@
      * @param busy whether the runner executes an order, has one queued or announced, or its state is not known
      * @param busyForMillis expected time until the order in progress is done
      * @param reservedFor the model for which the runner makes room; empty if there is none
+     * @param maySend whether an order may be sent now, since it leaves room for late orders
      */
-    record Runner(String id, RunnerLedger ledger, boolean busy, long busyForMillis, String reservedFor) {
+    record Runner(
+            String id,
+            RunnerLedger ledger,
+            boolean busy,
+            long busyForMillis,
+            String reservedFor,
+            BiPredicate<ResidencyOrder, EngineSpec> maySend) {
         private boolean accepts(String model) {
             return reservedFor.isEmpty() || reservedFor.equals(model);
         }
@@ -253,12 +261,13 @@
                     continue;
                 }
                 if (hasRoom(runner, neededMb(model))) {
-                    if (mayLoad(runner, model, storeLoadsLeft)) {
+                    if (mayLoad(runner, model, storeLoadsLeft) && maySendLoad(runner, model)) {
                         orders.add(load(runner, model));
                     }
                     continue;
                 }
                 victims(runner, model, gainOfNext(model))
+                        .filter(victims -> maySendUnload(runner, victims.get(0)))
                         .ifPresent(victims -> orders.add(unload(runner, victims.get(0), model)));
             }
             return orders;
@@ -305,6 +314,7 @@
             for (Runner runner : eligible) {
                 if (hasRoom(runner, neededMb(model))
                         && mayLoad(runner, model, storeLoadsLeft)
+                        && maySendLoad(runner, model)
                         && isWorthLoading(runner, model)) {
                     return Optional.of(new Move(runner, model, List.of(), highest));
                 }
@@ -335,7 +345,8 @@
                 if (!mayLoad(runner, model, laterStoreLoadsLeft)) {
                     continue;
                 }
-                Optional<List<String>> victims = victims(runner, model, gain);
+                Optional<List<String>> victims =
+                        victims(runner, model, gain).filter(found -> maySendUnload(runner, found.get(0)));
                 if (victims.isEmpty() || !isWorth(victims.get(), gain, absent, loadSeconds(runner, model))) {
                     continue;
                 }
@@ -377,6 +388,14 @@
             return runner.ledger().hasLocalCopy(model) || storeLoads >= 1;
         }
 
+        private boolean maySendLoad(Runner runner, String model) {
+            return runner.maySend().test(new ResidencyOrder(ResidencyOrder.Action.LOAD, model, ""), engine);
+        }
+
+        private boolean maySendUnload(Runner runner, String model) {
+            return runner.maySend().test(new ResidencyOrder(ResidencyOrder.Action.UNLOAD, model, ""), engine);
+        }
+
         /** Returns models whose unload makes room, lowest price first; empty if not enough room can be made. */
         private Optional<List<String>> victims(Runner runner, String model, double gain) {
             List<String> candidates = runner.ledger().models().stream()
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/RunnerLedger.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/RunnerLedger.java
@@ -2,8 +2,10 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.LongFunction;
 import org.agatehatch.api.fleet.EngineSpec;
 import org.agatehatch.api.fleet.ModelSpec;
 import org.agatehatch.api.fleet.ResidencyOrder;
@@ -208,6 +210,83 @@
         return freeMb(engine) + unloadingMb;
     }
 
+    /**
+     * Returns whether the runner keeps room for the late orders that it may execute right after an order. The given function
+     * returns the unanswered orders that a runner may execute at a count of accepted orders. Each of them that is executed raises
+     * the count, and makes those possible that expect the next one.
+     */
+    boolean leavesRoomForLateOrders(
+            ResidencyOrder order, EngineSpec engine, LongFunction<List<ResidencyOrder>> lateOrdersAt) {
+        long count = ordersAccepted + 1;
+        List<ResidencyOrder> late = lateOrdersAt.apply(count);
+        if (late.isEmpty()) {
+            return true;
+        }
+        Room room = roomAfter(order, engine);
+        while (!late.isEmpty()) {
+            room = room.minus(largestNeed(late, order, engine));
+            count++;
+            late = lateOrdersAt.apply(count);
+        }
+        return room.memoryMb() >= 0 && room.adapterSlots() >= 0;
+    }
+
+    /** Memory and adapter slots of a runner. */
+    private record Room(double memoryMb, int adapterSlots) {
+        private static final Room NONE = new Room(0, 0);
+
+        private Room minus(Room other) {
+            return new Room(memoryMb - other.memoryMb, adapterSlots - other.adapterSlots);
+        }
+
+        private Room max(Room other) {
+            return new Room(Math.max(memoryMb, other.memoryMb), Math.max(adapterSlots, other.adapterSlots));
+        }
+    }
+
+    /** Returns the room that is left once an order is executed; the runner executes it after the unload in progress. */
+    private Room roomAfter(ResidencyOrder order, EngineSpec engine) {
+        Room room = new Room(freeMbAfterUnload(engine), engine.adapterSlots() - adapterCountAfterUnload());
+        if (order.action() == ResidencyOrder.Action.LOAD) {
+            return room.minus(needOf(order, engine));
+        }
+        ModelSpec model = engine.models().get(order.model());
+        boolean isHeld = held.containsKey(order.model()) && !unloading.contains(order.model());
+        if (model == null || !isHeld) {
+            return room;
+        }
+        int adapters = order.forAdapter() ? 1 : held.get(order.model()).size();
+        double weightsMb = order.forAdapter() ? 0 : model.weightsMb();
+        return room.minus(new Room(-weightsMb - adapters * model.adapterMb(), -adapters));
+    }
+
+    private int adapterCountAfterUnload() {
+        return held.entrySet().stream()
+                .filter(entry -> !unloading.contains(entry.getKey()))
+                .mapToInt(entry -> entry.getValue().size())
+                .sum();
+    }
+
+    /** Returns what the largest of some late orders needs; the runner executes one of them at most. */
+    private Room largestNeed(List<ResidencyOrder> late, ResidencyOrder before, EngineSpec engine) {
+        return late.stream()
+                .filter(order -> order.action() == ResidencyOrder.Action.LOAD && !order.equals(before))
+                .map(order -> needOf(order, engine))
+                .reduce(Room.NONE, Room::max);
+    }
+
+    /** Returns what a load needs beyond what the runner holds; all memory for a model of unknown size. */
+    private Room needOf(ResidencyOrder load, EngineSpec engine) {
+        ModelSpec model = engine.models().get(load.model());
+        double adapterMb = model == null ? engine.weightsMb() : model.adapterMb();
+        if (load.forAdapter()) {
+            return holdsAdapter(load.model(), load.adapter()) ? Room.NONE : new Room(adapterMb, 1);
+        }
+        boolean needed = !held.containsKey(load.model()) || unloading.contains(load.model());
+        double weightsMb = model == null ? engine.weightsMb() : model.weightsMb();
+        return needed ? new Room(weightsMb, 0) : Room.NONE;
+    }
+
     /** Returns whether the runner has enough memory and adapter slots for an order. */
     boolean fits(ResidencyOrder order, EngineSpec engine) {
         ModelSpec model = engine.models().get(order.model());
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/ResidencyFixture.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/ResidencyFixture.java
@@ -10,6 +10,8 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.BiPredicate;
+import java.util.function.LongSupplier;
 import org.agatehatch.api.fleet.ClientLimits;
 import org.agatehatch.api.fleet.EngineSpec;
 import org.agatehatch.api.fleet.FleetConfig;
@@ -40,6 +42,10 @@
     final Set<String> unresponsiveRunners = new HashSet<>();
     int nodeCount = 1;
     boolean losesReplies;
+    /** Decides for each order whether it gets no reply and is executed late. */
+    BiPredicate<String, ResidencyOrder> executesLate = (runner, order) -> false;
+
+    LongSupplier lateMillis = () -> 10_000;
     int ordersReceived;
     private final Map<String, ModelSpec> models = new HashMap<>();
     private FleetView fleet = FleetView.EMPTY;
@@ -52,6 +58,7 @@
         final Set<String> adaptersInUse = new HashSet<>();
         long ordersAccepted;
         long startedAtMillis = 1;
+        long highestToken;
         boolean busy;
         String loading = "";
 
@@ -116,6 +123,15 @@
         return this;
     }
 
+    /** Replaces a runner's process by an empty one under the same id, whose entry appears at once. */
+    void restart(String id) {
+        Runner restarted = new Runner(id);
+        restarted.localCopies.addAll(runners.get(id).localCopies);
+        restarted.startedAtMillis = time.millis();
+        runners.put(id, restarted);
+        showEntries();
+    }
+
     /** Starts the controller; it sees the runners' entries as of the last full second. */
     ResidencyFixture start() {
         controller.start();
@@ -124,9 +140,13 @@
     }
 
     private void readEntries() {
+        showEntries();
+        time.runAfter(1_000, this::readEntries);
+    }
+
+    private void showEntries() {
         fleet = new FleetView(
                 Map.of(SERVICE, runners.values().stream().map(Runner::entry).toList()));
-        time.runAfter(1_000, this::readEntries);
     }
 
     /** Reports demand for a model four times a second, for a duration, in milliseconds of runner time per second. */
@@ -166,9 +186,16 @@
     public CompletionStage<Reply> order(
             ServerEntry entry, ResidencyOrder order, long expectedOrders, String holder, long fencingToken) {
         CompletableFuture<Reply> answer = new CompletableFuture<>();
+        if (executesLate.test(entry.id(), order)) {
+            time.runAfter(
+                    lateMillis.getAsLong(),
+                    () -> execute(runners.get(entry.id()), order, expectedOrders, fencingToken));
+            time.runAfter(500, () -> answer.completeExceptionally(new IllegalStateException("no answer")));
+            return answer;
+        }
         boolean replyLost = losesReplies;
         time.runAfter(CALL_MILLIS, () -> {
-            Reply reply = execute(runners.get(entry.id()), order, expectedOrders);
+            Reply reply = execute(runners.get(entry.id()), order, expectedOrders, fencingToken);
             if (replyLost) {
                 time.runAfter(500, () -> answer.completeExceptionally(new IllegalStateException("no answer")));
             } else {
@@ -178,8 +205,12 @@
         return answer;
     }
 
-    private Reply execute(Runner runner, ResidencyOrder order, long expectedOrders) {
+    private Reply execute(Runner runner, ResidencyOrder order, long expectedOrders, long fencingToken) {
         ordersReceived++;
+        if (fencingToken < runner.highestToken) {
+            return Reply.FENCED;
+        }
+        runner.highestToken = fencingToken;
         if (runner.busy || expectedOrders != runner.ordersAccepted) {
             return Reply.CONFLICT;
         }
@@ -220,9 +251,13 @@
 
     private Reply executeModelOrder(Runner runner, ResidencyOrder order) {
         ModelSpec model = models.get(order.model());
+        boolean load = order.action() == ResidencyOrder.Action.LOAD;
+        if (load == runner.held.containsKey(order.model())) {
+            return Reply.HOLDS;
+        }
         runner.ordersAccepted++;
         runner.busy = true;
-        if (order.action() == ResidencyOrder.Action.UNLOAD) {
+        if (!load) {
             time.runAfter(200, () -> {
                 runner.held.remove(order.model());
                 runner.busy = false;
