Answer requests that the exit of the process would cut

What callers saw (a report of other operators): at the end of a planned stop, requests that had been passed on were cut without an answer.

Cause: the time that the process has left was used for new requests only. A request that was accepted earlier and waited for a server or a model was sent at any time until the exit, and whatever was unanswered at the exit lost its connection, also if it had never been sent.

Change: once new requests are refused, a request that cannot have run and whose deadline lies beyond the exit is answered 503 instead of being sent. 300 ms before the exit, unanswered requests get 504 if a server may be running them and 503 otherwise. Responses that have begun go on.

Not tested with processes, and not changed in the daemon.

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/CallerConnection.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/CallerConnection.java
@@ -151,6 +151,11 @@
                 .addListener(written -> channel.eventLoop().execute(this::closeWhenIdle));
     }
 
+    /** Tells the request in flight that the process is about to exit. */
+    void endInFlight() {
+        inFlight.ifPresent(RequestHandler.InFlightRequest::onProcessEnding);
+    }
+
     /** Returns whether responses are not yet written to the socket, and records the progress since the last call. */
     private boolean isWriting() {
         ChannelOutboundBuffer output = channel.unsafe().outboundBuffer();
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/CallerServer.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/CallerServer.java
@@ -103,6 +103,11 @@
         loop.execute(() -> Set.copyOf(connections).forEach(CallerConnection::closeWhenIdle));
     }
 
+    /** Tells all requests in flight that the process is about to exit. */
+    public void endInFlight() {
+        loop.execute(() -> Set.copyOf(connections).forEach(CallerConnection::endInFlight));
+    }
+
     /** Returns whether a caller is connected. Thread-safe. */
     public boolean hasConnections() {
         return !connections.isEmpty();
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/RequestHandler.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/RequestHandler.java
@@ -10,6 +10,9 @@
 
         /** Called when the write buffer to the caller crosses its high or low watermark. */
         void onWritabilityChanged(boolean writable);
+
+        /** Called shortly before the process exits, so that the request is answered before its connection closes. */
+        void onProcessEnding();
     }
 
     /** Starts handling a request. The sink receives exactly one response or is aborted, unless the caller disconnects first. */
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/SimpleHttpServer.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/SimpleHttpServer.java
@@ -21,6 +21,9 @@
 
         @Override
         public void onWritabilityChanged(boolean writable) {}
+
+        @Override
+        public void onProcessEnding() {}
     };
 
     private final CallerServer server;
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
@@ -398,7 +398,7 @@
                 streamOrigins,
                 softwareVersions,
                 this::knowsServersAsOf,
-                shutdown::refusingRequests,
+                shutdown,
                 metrics,
                 ExchangeTimeouts.DEFAULT);
     }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/GracefulShutdown.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/GracefulShutdown.java
@@ -10,14 +10,16 @@
 import org.agatehatch.gateway.connection.CallerServer;
 import org.agatehatch.gateway.connection.ResponseSink;
 import org.agatehatch.gateway.logging.LogSetup;
+import org.agatehatch.gateway.request.ProcessLife;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
  * Shuts the process down without aborting requests: the node leaves the group, keeps serving while callers may still have
  * its address, then refuses new requests and waits until the responses are written and the connections of callers are closed.
+ * Shortly before the end of the grace period, requests that are still unanswered are answered as timed out or as not run.
  */
-final class GracefulShutdown {
+final class GracefulShutdown implements ProcessLife {
     private static final Logger log = LoggerFactory.getLogger(GracefulShutdown.class);
 
     /** Time for which new requests are still served. Callers stop using the node once their directory answer has expired. */
@@ -26,6 +28,9 @@
     /** Part of the grace period reserved for the exit of the process. */
     private static final long PROCESS_EXIT_RESERVE_MILLIS = 500;
 
+    /** Time to write the last answers, which are those to requests that are ended without a response of a server. */
+    private static final long LAST_ANSWERS_MILLIS = 300;
+
     private static final long POLL_INTERVAL_MILLIS = 20;
 
     private final long graceMillis;
@@ -34,6 +39,7 @@
     private final AtomicInteger inFlight = new AtomicInteger();
     private volatile boolean leaving;
     private volatile boolean refusingRequests;
+    private volatile long endInFlightAtMillis = Long.MAX_VALUE;
 
     GracefulShutdown(long graceMillis, MonotonicClock clock, Runnable leaveGroup) {
         this.graceMillis = graceMillis;
@@ -51,11 +57,16 @@
         return leaving;
     }
 
-    /** Returns whether new requests are refused. */
-    boolean refusingRequests() {
+    @Override
+    public boolean refusesRequests() {
         return refusingRequests;
     }
 
+    @Override
+    public boolean outlasts(long durationMillis) {
+        return !refusingRequests || clock.millis() + durationMillis <= endInFlightAtMillis;
+    }
+
     /** Returns a sink that counts its request as in flight until it is answered, aborted or the caller disconnects. */
     ResponseSink countInFlight(ResponseSink sink) {
         inFlight.incrementAndGet();
@@ -64,6 +75,7 @@
 
     void run(CallerServer server) {
         long startMillis = clock.millis();
+        endInFlightAtMillis = startMillis + graceMillis - PROCESS_EXIT_RESERVE_MILLIS - LAST_ANSWERS_MILLIS;
         leaving = true;
         log.info("event=stop_begun in_flight={}", inFlight.get());
         leaveGroup.run();
@@ -71,7 +83,9 @@
         refusingRequests = true;
         server.stopListening();
         server.closeIdle();
-        waitUntil(startMillis + graceMillis - PROCESS_EXIT_RESERVE_MILLIS, () -> !server.hasConnections());
+        waitUntil(endInFlightAtMillis, () -> !server.hasConnections());
+        server.endInFlight();
+        waitUntil(endInFlightAtMillis + LAST_ANSWERS_MILLIS, () -> !server.hasConnections());
         log.info("event=stop_ended in_flight={} took_ms={}", inFlight.get(), clock.millis() - startMillis);
         LogSetup.flush();
     }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Exchange.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Exchange.java
@@ -45,6 +45,8 @@
     /** Callers honour a Retry-After value only up to a third of their remaining time. */
     private static final int RETRY_AFTER_DIVISOR = 3;
 
+    private static final String PROCESS_ENDING = "process_ending";
+
     private final ExchangeContext context;
     private final CallerRequest request;
     private final ResponseSink sink;
@@ -87,8 +89,8 @@
             refuse("no_configuration", context.timeouts().modelLoadRetryAfterMillis());
             return;
         }
-        if (context.refusingRequests().getAsBoolean()) {
-            refuse("process_ending", 0);
+        if (context.life().refusesRequests()) {
+            refuse(PROCESS_ENDING, 0);
             return;
         }
         Optional<RouteSpec> found = context.config()
@@ -170,10 +172,24 @@
         successor.ifPresent(attempt -> attempt.setReading(writable));
     }
 
+    /** Answers a request that would be cut by the exit of the process. A response that has begun may still be completed. */
+    @Override
+    public void onProcessEnding() {
+        if (!finished && !relay.started()) {
+            endUnanswered(PROCESS_ENDING);
+        }
+    }
+
     private void startAttempt() {
         if (finished) {
             return;
         }
+        if (!machine.mayHaveRun() && !context.life().outlasts(remainingMillis())) {
+            // Another node can still serve it; a request that is sent now could be cut by the exit of the process.
+            lastRetryAfterMillis = 0;
+            perform(machine.onNoServer(), PROCESS_ENDING);
+            return;
+        }
         Optional<String> blockingPart = context.crashes().blockingPart(sharedParts);
         if (blockingPart.isPresent()) {
             lastRetryAfterMillis = route.timeoutMillis();
@@ -378,14 +394,17 @@
     }
 
     private void onDeadline() {
-        if (finished) {
-            return;
+        if (!finished) {
+            endUnanswered("time_over");
         }
+    }
+
+    private void endUnanswered(String reason) {
         boolean sent = currentAttempt.map(Attempt::isSent).orElse(false)
                 || successor.map(Attempt::isSent).orElse(false);
-        abandonAttempts("time over");
+        abandonAttempts(reason);
         lastRetryAfterMillis = 0;
-        perform(machine.onTimeout(sent), "time_over");
+        perform(machine.onTimeout(sent), reason);
     }
 
     private void refuse(String reason, long retryAfterMillis) {
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ExchangeContext.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ExchangeContext.java
@@ -1,7 +1,6 @@
 package org.agatehatch.gateway.request;
 
 import io.netty.channel.EventLoop;
-import java.util.function.BooleanSupplier;
 import java.util.function.LongPredicate;
 import java.util.random.RandomGenerator;
 import org.agatehatch.api.time.MonotonicClock;
@@ -21,7 +20,7 @@
  * Objects shared by all exchanges of a process.
  *
  * @param serverViewAsOf whether this node knows all backend servers that the store knew at a time of the clock, in nanoseconds
- * @param refusingRequests whether new requests are refused because the process is shutting down
+ * @param life how long this process goes on serving
  */
 public record ExchangeContext(
         EventLoop loop,
@@ -42,6 +41,6 @@
         StreamOrigins streamOrigins,
         SoftwareVersions softwareVersions,
         LongPredicate serverViewAsOf,
-        BooleanSupplier refusingRequests,
+        ProcessLife life,
         GatewayMetrics metrics,
         ExchangeTimeouts timeouts) {}
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestGateway.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestGateway.java
@@ -28,6 +28,7 @@
 import org.agatehatch.gateway.request.Exchange;
 import org.agatehatch.gateway.request.ExchangeContext;
 import org.agatehatch.gateway.request.ExchangeTimeouts;
+import org.agatehatch.gateway.request.ProcessLife;
 import org.agatehatch.gateway.request.ServerProbe;
 import org.agatehatch.internal.process.CrashingPartDetector;
 import org.agatehatch.internal.process.DemandMeter;
@@ -56,6 +57,9 @@
     final int port;
     volatile boolean leaving;
     volatile boolean refusing;
+    /** Time until requests are ended for the exit of the process. */
+    volatile long lifeMillis = Long.MAX_VALUE;
+
     volatile boolean viewIsRecent = true;
     /** Whether all servers load each requested model at once. */
     volatile boolean loadsModels;
@@ -66,6 +70,7 @@
 
     private final EventLoop loop = group.next();
     private final ServerChooser chooser;
+    private final CallerServer server;
 
     TestGateway(ScriptedServer... servers) {
         this(100, servers);
@@ -138,10 +143,10 @@
                         streamOriginLog, attemptId -> CompletableFuture.completedFuture(Optional.empty()), loop),
                 softwareVersions,
                 nanos -> viewIsRecent,
-                () -> refusing,
+                new Life(),
                 metrics,
                 ExchangeTimeouts.DEFAULT);
-        CallerServer server = new CallerServer(group, clock, () -> LIMITS, () -> leaving, (request, sink) -> {
+        server = new CallerServer(group, clock, () -> LIMITS, () -> leaving, (request, sink) -> {
             Exchange exchange = new Exchange(parts, request, sink);
             exchange.start();
             return exchange;
@@ -156,6 +161,8 @@
                         route("once", RequestKind.AT_MOST_ONCE, false),
                         route("safe", RequestKind.IDEMPOTENT, false),
                         route("patient", RequestKind.IDEMPOTENT, false, PATIENT_TIMEOUT_MILLIS),
+                        route("patient-once", RequestKind.AT_MOST_ONCE, false, PATIENT_TIMEOUT_MILLIS),
+                        route("patient-stream", RequestKind.STREAM, false, PATIENT_TIMEOUT_MILLIS),
                         route("stream", RequestKind.STREAM, false),
                         route("resume", RequestKind.STREAM, true)),
                 Map.of(),
@@ -181,6 +188,12 @@
                 .getNow();
     }
 
+    /** Ends the requests in flight as before the exit of the process. */
+    void endInFlight() {
+        lifeMillis = 0;
+        server.endInFlight();
+    }
+
     /** Returns the value of a counter without labels. */
     int count(String metric) {
         String scraped = new String(metrics.scrape(), StandardCharsets.UTF_8);
@@ -207,6 +220,18 @@
         }
     }
 
+    private final class Life implements ProcessLife {
+        @Override
+        public boolean refusesRequests() {
+            return refusing;
+        }
+
+        @Override
+        public boolean outlasts(long durationMillis) {
+            return durationMillis <= lifeMillis;
+        }
+    }
+
     private static final class NoQuarantineListener implements CrashingPartDetector.Listener {
         @Override
         public void onQuarantine(String part, Set<String> processes) {}
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/connection/CallerServerTest.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/connection/CallerServerTest.java
@@ -59,6 +59,9 @@
 
         @Override
         public void onWritabilityChanged(boolean writable) {}
+
+        @Override
+        public void onProcessEnding() {}
     }
 
     private void respond(int request, byte[] body) {
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/process/GracefulShutdownTest.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/process/GracefulShutdownTest.java
@@ -1,6 +1,7 @@
 package org.agatehatch.gateway.process;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -50,8 +51,9 @@
         shutdown = new GracefulShutdown(GRACE_MILLIS, this::readClock, () -> {});
         ClientLimits limits = ClientLimits.INITIAL;
         server = new CallerServer(group, () -> 0L, () -> limits, shutdown::leaving, (request, sink) -> {
-            sinks.add(shutdown.countInFlight(sink));
-            return new UnansweredRequest();
+            ResponseSink counted = shutdown.countInFlight(sink);
+            sinks.add(counted);
+            return new UnansweredRequest(counted);
         });
         port = server.bind(new PeerAddress("127.0.0.1", 0));
         stopping = new Thread(() -> {
@@ -73,12 +75,24 @@
         return TimeUnit.MILLISECONDS.toNanos(nowMillis.get());
     }
 
+    /** A request that is answered only at the end of the process. */
     private static final class UnansweredRequest implements RequestHandler.InFlightRequest {
+        private final ResponseSink sink;
+
+        private UnansweredRequest(ResponseSink sink) {
+            this.sink = sink;
+        }
+
         @Override
         public void onCallerGone() {}
 
         @Override
         public void onWritabilityChanged(boolean writable) {}
+
+        @Override
+        public void onProcessEnding() {
+            sink.respond(HttpResponseStatus.GATEWAY_TIMEOUT, new DefaultHttpHeaders(), new byte[0]);
+        }
     }
 
     private static void await(String what, BooleanSupplier condition) {
@@ -100,7 +114,7 @@
         stopping.start();
         await("the shutdown", shutdown::leaving);
         nowMillis.set(AFTER_SERVING_MILLIS);
-        await("the end of serving", shutdown::refusingRequests);
+        await("the end of serving", shutdown::refusesRequests);
         long polls = shutdownPolls.get();
         await(
                 "polls of the shutdown",
@@ -150,6 +164,22 @@
         }
     }
 
+    // Guards against a connection that the end of the process closes without an answer.
+    @Test
+    public void a_request_that_is_unanswered_at_the_end_of_the_grace_period_is_answered() throws IOException {
+        try (SlowCaller caller = new SlowCaller(port)) {
+            caller.send(REQUEST + "b");
+            await("the request", () -> sinks.size() == 1);
+            stopServing();
+            assertTrue(shutdown.outlasts(GRACE_MILLIS / 2));
+            assertFalse(shutdown.outlasts(GRACE_MILLIS));
+            nowMillis.set(GRACE_MILLIS - 700);
+            String response = caller.readAll();
+            assertTrue(response.startsWith("HTTP/1.1 504 "), response);
+            assertEnds();
+        }
+    }
+
     // Guards against a process that outlives the grace period because of a caller that reads nothing.
     @Test
     public void the_grace_period_limits_the_wait() throws IOException {
