Take the tests' listening ports from below the ephemeral range

Cause, by reading: Cluster took a port from the range that the system also gives to outgoing connections, released it, and bound it later, again after each kill. Any connection of the machine can take it meanwhile.

TcpPeerTransport.bind returns the port, so that its test binds any free one.

The failure itself was not reproduced.

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/links/TcpPeerTransport.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/links/TcpPeerTransport.java
@@ -16,6 +16,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -71,16 +72,22 @@
         this.handler = handler;
     }
 
-    /** Accepts connections from other nodes. */
-    public void bind(PeerAddress address) {
-        new ServerBootstrap()
+    /**
+     * Accepts connections from other nodes.
+     *
+     * @return the bound port
+     */
+    public int bind(PeerAddress address) {
+        Channel listening = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(initializer())
                 .bind(address.host(), address.port())
-                .syncUninterruptibly();
+                .syncUninterruptibly()
+                .channel();
+        return ((InetSocketAddress) listening.localAddress()).getPort();
     }
 
     @Override
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/Cluster.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/Cluster.java
@@ -1,9 +1,6 @@
 package org.agatehatch.gateway;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -20,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
+import java.util.stream.IntStream;
 import org.agatehatch.api.fleet.ClientLimits;
 import org.agatehatch.api.fleet.FleetConfig;
 import org.agatehatch.api.fleet.PeerAddress;
@@ -47,6 +45,7 @@
     private static final long MEMBERSHIP_TTL_MILLIS = 2_500;
     private static final long READY_TIMEOUT_SECONDS = 20;
     private static final String SERVICE = "svc";
+    private static final int MAX_NODES = 16;
     private static final ClientLimits LIMITS = new ClientLimits(8_192, 100_000, 2_000, 20_000);
 
     final List<RunnerStandIn> runners = new ArrayList<>();
@@ -139,11 +138,8 @@
     }
 
     private static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.10"))) {
-            return socket.getLocalPort();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
+        return ListenPorts.next(
+                IntStream.range(0, MAX_NODES).mapToObj(Cluster::host).toList());
     }
 
     private PlatformBindings bindings() {
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/links/TcpPeerTransportTest.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/links/TcpPeerTransportTest.java
@@ -5,7 +5,6 @@
 
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -33,13 +32,13 @@
     private String address;
 
     @BeforeMethod
-    public void start() throws IOException {
+    public void start() {
         replies.clear();
         group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         asking = new TcpPeerTransport(group, message -> new CompletableFuture<>());
-        PeerAddress listen = new PeerAddress("127.0.0.1", freePort());
-        new TcpPeerTransport(group, message -> replyTo(message.type())).bind(listen);
-        address = listen.toString();
+        int port =
+                new TcpPeerTransport(group, message -> replyTo(message.type())).bind(new PeerAddress("127.0.0.1", 0));
+        address = new PeerAddress("127.0.0.1", port).toString();
     }
 
     @AfterMethod(alwaysRun = true)
@@ -47,12 +46,6 @@
         group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
-        }
-    }
-
     private CompletableFuture<PeerMessage> replyTo(String type) {
         if (type.equals("odd")) {
             throw new IllegalStateException("expected by the test");
