Correct a count of orders that a late copy of a reply raised

A runner whose reply to an order came twice got no orders any more until it restarted, so that models and adapters asked for were not loaded there.

Cause: replies to orders carry no id, and a copy is read as the reply to the next order on the connection. A false "accepted" raises the holder's count above that of the runner. Each report then looks older than the last order and is ignored, and each order is refused.

Change: a report that was asked for more than 2 s after the last accepted order covers it, since reports lag some hundred milliseconds; its lower count replaces the holder's.

Measured: a_late_copy_of_a_reply_does_not_end_the_orders_to_a_runner fails without the change and passes with it; LateOrdersTest and ResidencyControllerTest pass (105 cases).

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/OrderQueue.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/OrderQueue.java
@@ -50,6 +50,9 @@
     /** Margin on a node's report interval after which an adapter that its reports did not name is not in use. */
     private static final long ADAPTER_REPORT_DELAY_MILLIS = 150;
 
+    /** Age that no report exceeds; reports lag some hundred milliseconds behind. */
+    private static final long MAX_REPORT_AGE_MILLIS = 2_000;
+
     /** What a queue needs of the placement holder. */
     interface Holder {
         /** Returns the holder's name. */
@@ -99,6 +102,7 @@
     private long reservedUntilMillis = Long.MIN_VALUE;
     private boolean reportInFlight;
     private long lastReportReadMillis = Long.MIN_VALUE / 2;
+    private long lastAcceptedMillis = Long.MIN_VALUE / 2;
 
     /**
      * An order that waits for its turn.
@@ -203,6 +207,15 @@
 
     private void onReport(RunnerReport report) {
         Set<String> served = servedModels();
+        boolean coversAllOrders = lastReportReadMillis - lastAcceptedMillis > MAX_REPORT_AGE_MILLIS;
+        if (coversAllOrders && report.ordersAccepted() < ledger.ordersAccepted()) {
+            log.warn(
+                    "event=order_count_corrected runner={} from={} to={}",
+                    entry.id(),
+                    ledger.ordersAccepted(),
+                    report.ordersAccepted());
+            ledger.resetOrdersAccepted(report.ordersAccepted());
+        }
         if (!ledger.onReport(report)) {
             return;
         }
@@ -389,6 +402,7 @@
         switch (reply) {
             case ACCEPTED -> onAccepted(task);
             case HOLDS -> {
+                lastAcceptedMillis = clock.millis();
                 ledger.onAlreadyDone(task.order());
                 task.result().complete(true);
                 refreshReport();
@@ -425,7 +439,8 @@
                 ? (ledger.hasLocalCopy(order.model()) ? model.diskSeconds() : model.loadSeconds())
                 : 0;
         long doneInMillis = (long) (seconds * 1_000) + LOAD_SLACK_MILLIS;
-        ledger.onAccepted(order, clock.millis() + doneInMillis);
+        lastAcceptedMillis = clock.millis();
+        ledger.onAccepted(order, lastAcceptedMillis + doneInMillis);
         if (!order.forAdapter()) {
             control.schedule(doneInMillis, this::refreshReport);
             if (order.action() == ResidencyOrder.Action.UNLOAD) {
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/RunnerLedger.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/RunnerLedger.java
@@ -56,6 +56,15 @@
         localCopies.addAll(entry.locallyCachedModels());
     }
 
+    /**
+     * Corrects the count of accepted orders, which is too high if a late copy of a reply was taken for the reply to a later order:
+     * replies carry nothing that identifies their order.
+     */
+    void resetOrdersAccepted(long count) {
+        ordersAccepted = count;
+        isKnown = false;
+    }
+
     /** Applies a report unless it is older than an accepted order, and returns whether it was applied. */
     boolean onReport(RunnerReport report) {
         if (report.ordersAccepted() < ordersAccepted) {
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/ResidencyControllerTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/ResidencyControllerTest.java
@@ -320,6 +320,26 @@
     }
 
     /** Guards against a runner without reports that stops the loads on all other runners for 4 s. */
+    // Guards against a runner that gets no more orders since its count seems lower than that of the orders it accepted.
+    @Test
+    public void a_late_copy_of_a_reply_does_not_end_the_orders_to_a_runner() {
+        ResidencyFixture fleet = new ResidencyFixture()
+                .model("a", 72_700, 2)
+                .model("b", 72_700, 2)
+                .runner("r1", "a")
+                .start();
+        fleet.addDemand("a", 300, 20_000);
+        fleet.time.advance(1_000);
+        fleet.answeredByCopy = order -> true;
+        fleet.requestResidency("a", "x");
+        fleet.time.advance(100);
+        fleet.answeredByCopy = order -> false;
+        fleet.addDemand("b", 600, 15_000);
+        fleet.time.advance(10_000);
+        assertEquals(fleet.replicaCount("b"), 1);
+        assertLimitsKept(fleet);
+    }
+
     @Test
     public void a_runner_that_does_not_answer_does_not_delay_the_others() {
         ResidencyFixture fleet = fleet();
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/ResidencyFixture.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/ResidencyFixture.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.function.BiPredicate;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.agatehatch.api.fleet.ClientLimits;
 import org.agatehatch.api.fleet.EngineSpec;
 import org.agatehatch.api.fleet.FleetConfig;
@@ -45,6 +46,9 @@
     /** Decides for each order whether it gets no reply and is executed late. */
     BiPredicate<String, ResidencyOrder> executesLate = (runner, order) -> false;
 
+    /** Decides for each order whether the runner refuses it and a copy of an earlier reply says that it is accepted. */
+    Predicate<ResidencyOrder> answeredByCopy = order -> false;
+
     LongSupplier lateMillis = () -> 10_000;
     int ordersReceived;
     private final Map<String, ModelSpec> models = new HashMap<>();
@@ -193,6 +197,10 @@
             time.runAfter(500, () -> answer.completeExceptionally(new IllegalStateException("no answer")));
             return answer;
         }
+        if (answeredByCopy.test(order)) {
+            time.runAfter(CALL_MILLIS, () -> answer.complete(Reply.ACCEPTED));
+            return answer;
+        }
         boolean replyLost = losesReplies;
         time.runAfter(CALL_MILLIS, () -> {
             Reply reply = execute(runners.get(entry.id()), order, expectedOrders, fencingToken);
