Limit the memory of all incomplete responses of a server

The node ran out of heap, and requests for other services failed.

Cause: each response has a limit, all of them together had none.

An attempt that needs more ends as broken.

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/metrics/GatewayMetrics.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/metrics/GatewayMetrics.java
@@ -24,7 +24,6 @@
     private final Counter brokenAttempts;
     private final Counter closeEndedAnswers;
     private final Counter answersInDoubt;
-    private final Counter skippedResponses;
     private final Counter strikes;
     private final Gauge quarantinedParts;
     private final Counter refusedForPart;
@@ -32,6 +31,12 @@
     private final Gauge limitedServers;
     private final Counter leavingServers =
             counter("agatehatch_leaving_servers", "Server processes that have said in an answer that they are leaving");
+    private final Counter skippedResponses = counter(
+            "agatehatch_skipped_responses",
+            "Responses of servers that named another attempt than the one in flight on their connection");
+    private final Counter memoryExhaustions = counter(
+            "agatehatch_response_memory_exhausted",
+            "Attempts that were ended because incomplete responses, of one server or of all, took too much memory");
     private final Counter serverClosures = counter(
             "agatehatch_server_closures",
             "Answers by which a server asked this node to send nothing for a time, beyond what it had asked before");
@@ -64,9 +69,6 @@
         answersInDoubt = counter(
                 "agatehatch_close_ended_answers_in_doubt",
                 "Answers that an orderly close ended and whose server did not accept a connection afterwards");
-        skippedResponses = counter(
-                "agatehatch_skipped_responses",
-                "Responses of servers that named another attempt than the one in flight on their connection");
         strikes = counter(
                 "agatehatch_crash_strikes",
                 "Requests in flight at a server process that is known to have died, by who saw it: this node or a peer",
@@ -159,6 +161,11 @@
         skippedResponses.inc();
     }
 
+    /** Counts an attempt that was ended because incomplete responses took too much memory. */
+    public void responseMemoryExhausted() {
+        memoryExhaustions.inc();
+    }
+
     /** Counts a crash that was attributed to a request. */
     public void crashStrike(boolean own) {
         strikes.labelValues(own ? "own" : "peer").inc();
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
@@ -34,6 +34,7 @@
 import org.agatehatch.gateway.request.Exchange;
 import org.agatehatch.gateway.request.ExchangeContext;
 import org.agatehatch.gateway.request.ExchangeTimeouts;
+import org.agatehatch.gateway.request.ResponseMemory;
 import org.agatehatch.gateway.request.ServerProbe;
 import org.agatehatch.internal.process.BackendRegistry;
 import org.agatehatch.internal.process.CrashEvidence;
@@ -399,6 +400,7 @@
                 softwareVersions,
                 this::knowsServersAsOf,
                 shutdown,
+                new ResponseMemory(),
                 metrics,
                 ExchangeTimeouts.DEFAULT);
     }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
@@ -50,6 +50,7 @@
     private Optional<HeldResponse> held = Optional.empty();
     private Optional<Future<?>> silenceTimer = Optional.empty();
     private long lastReceivedMillis;
+    private long heldBytes;
     private long firstByteMillis = -1;
     private boolean promptReadCounted;
     private boolean headReceived;
@@ -271,6 +272,11 @@
         if (ended || declaredEnd.isPresent()) {
             return;
         }
+        if (!hold(content.readableBytes())) {
+            exchange.context().metrics().responseMemoryExhausted();
+            abort(AttemptEnd.BROKEN, "the responses of the server take too much memory");
+            return;
+        }
         onFirstByte();
         if (sinceFirstByteMillis() >= CrashingPartDetector.SURVIVAL_MILLIS) {
             recordSurvival();
@@ -282,11 +288,28 @@
             return;
         }
         if (exchange.relay().onContent(content)) {
+            releaseHeld();
             exchange.onResponseStarted(this);
             exchange.onDelivery(this);
         }
     }
 
+    /** Takes memory for a chunk that the caller does not get at once, and returns whether there is enough. */
+    private boolean hold(int bytes) {
+        boolean relayedAtOnce = stream && held.isEmpty() && !exchange.route().resumable();
+        if (relayedAtOnce) {
+            return true;
+        }
+        boolean taken = exchange.context().responseMemory().tryTake(server().processKey(), bytes);
+        heldBytes += taken ? bytes : 0;
+        return taken;
+    }
+
+    private void releaseHeld() {
+        exchange.context().responseMemory().release(server().processKey(), heldBytes);
+        heldBytes = 0;
+    }
+
     /** Passes what was held back of the response to the caller. Called when a successor becomes the current attempt. */
     void becomeCurrent() {
         Optional<HeldResponse> response = held;
@@ -424,6 +447,7 @@
 
     private void close() {
         ended = true;
+        releaseHeld();
         silenceTimer.ifPresent(timer -> timer.cancel(false));
         countPromptRead();
         load.recordEnd();
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ExchangeContext.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ExchangeContext.java
@@ -42,5 +42,6 @@
         SoftwareVersions softwareVersions,
         LongPredicate serverViewAsOf,
         ProcessLife life,
+        ResponseMemory responseMemory,
         GatewayMetrics metrics,
         ExchangeTimeouts timeouts) {}
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/RawCaller.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/RawCaller.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
@@ -54,6 +55,11 @@
         return bytes.toString(StandardCharsets.ISO_8859_1);
     }
 
+    /** Reads until the peer closes the connection and returns the number of bytes. */
+    long countAll() throws IOException {
+        return socket.getInputStream().transferTo(OutputStream.nullOutputStream());
+    }
+
     @Override
     public void close() throws IOException {
         socket.close();
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestGateway.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestGateway.java
@@ -29,6 +29,7 @@
 import org.agatehatch.gateway.request.ExchangeContext;
 import org.agatehatch.gateway.request.ExchangeTimeouts;
 import org.agatehatch.gateway.request.ProcessLife;
+import org.agatehatch.gateway.request.ResponseMemory;
 import org.agatehatch.gateway.request.ServerProbe;
 import org.agatehatch.internal.process.CrashingPartDetector;
 import org.agatehatch.internal.process.DemandMeter;
@@ -144,6 +145,7 @@
                 softwareVersions,
                 nanos -> viewIsRecent,
                 new Life(),
+                new ResponseMemory(),
                 metrics,
                 ExchangeTimeouts.DEFAULT);
         server = new CallerServer(group, clock, () -> LIMITS, () -> leaving, (request, sink) -> {
@@ -163,6 +165,7 @@
                         route("patient", RequestKind.IDEMPOTENT, false, PATIENT_TIMEOUT_MILLIS),
                         route("patient-once", RequestKind.AT_MOST_ONCE, false, PATIENT_TIMEOUT_MILLIS),
                         route("patient-stream", RequestKind.STREAM, false, PATIENT_TIMEOUT_MILLIS),
+                        route("patient-resume", RequestKind.STREAM, true, PATIENT_TIMEOUT_MILLIS),
                         route("stream", RequestKind.STREAM, false),
                         route("resume", RequestKind.STREAM, true)),
                 Map.of(),
