Count late loads of what the order before them unloads

What callers saw: nothing yet; found on reading the check for late orders.

Cause: an unload frees memory, and a late load of the same model may take it again before further late loads. The check took that model for one that the runner still holds, so that the chain seemed to need less than it does. The same held for adapters.

Change: a load of what the order before unloads counts with its full size.

Measured: two new cases of LateOrdersTest, one with models and one with adapters, fail without the change; LateOrdersTest and ResidencyControllerTest pass with it (108 cases).

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/RunnerLedger.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/RunnerLedger.java
@@ -280,20 +280,31 @@
     private Room largestNeed(List<ResidencyOrder> late, ResidencyOrder before, EngineSpec engine) {
         return late.stream()
                 .filter(order -> order.action() == ResidencyOrder.Action.LOAD && !order.equals(before))
-                .map(order -> needOf(order, engine))
+                .map(order -> isUndoneBy(order, before) ? sizeOf(order, engine) : needOf(order, engine))
                 .reduce(Room.NONE, Room::max);
     }
 
-    /** Returns what a load needs beyond what the runner holds; all memory for a model of unknown size. */
+    /** Returns whether an unload removes what a load brings. */
+    private static boolean isUndoneBy(ResidencyOrder load, ResidencyOrder before) {
+        boolean sameTarget = !before.forAdapter() || before.adapter().equals(load.adapter());
+        return before.action() == ResidencyOrder.Action.UNLOAD && before.model().equals(load.model()) && sameTarget;
+    }
+
+    /** Returns what a load needs beyond what the runner holds. */
     private Room needOf(ResidencyOrder load, EngineSpec engine) {
+        boolean isHeld = load.forAdapter()
+                ? holdsAdapter(load.model(), load.adapter())
+                : held.containsKey(load.model()) && !unloading.contains(load.model());
+        return isHeld ? Room.NONE : sizeOf(load, engine);
+    }
+
+    /** Returns what a model or adapter takes; all memory for a model of unknown size. */
+    private static Room sizeOf(ResidencyOrder load, EngineSpec engine) {
         ModelSpec model = engine.models().get(load.model());
-        double adapterMb = model == null ? engine.weightsMb() : model.adapterMb();
-        if (load.forAdapter()) {
-            return holdsAdapter(load.model(), load.adapter()) ? Room.NONE : new Room(adapterMb, 1);
+        if (model == null) {
+            return new Room(engine.weightsMb(), load.forAdapter() ? 1 : 0);
         }
-        boolean needed = !held.containsKey(load.model()) || unloading.contains(load.model());
-        double weightsMb = model == null ? engine.weightsMb() : model.weightsMb();
-        return needed ? new Room(weightsMb, 0) : Room.NONE;
+        return load.forAdapter() ? new Room(model.adapterMb(), 1) : new Room(model.weightsMb(), 0);
     }
 
     /** Returns whether the runner has enough memory and adapter slots for an order. */
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/LateOrdersTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/LateOrdersTest.java
@@ -155,6 +155,10 @@
         return new ResidencyOrder(Action.LOAD, "a", adapter);
     }
 
+    private static ResidencyOrder unloadAdapter(String adapter) {
+        return new ResidencyOrder(Action.UNLOAD, "a", adapter);
+    }
+
     private static ResidencyOrder unload(String model) {
         return new ResidencyOrder(Action.UNLOAD, model, "");
     }
@@ -175,6 +179,9 @@
             {0, load("b"), Map.of(2L, List.of(load("small"))), true},
             {0, load("b"), Map.of(2L, List.of(load("of unknown size"))), false},
             {0, unload("a"), Map.of(2L, List.of(load("b")), 3L, List.of(load("c"))), true},
+            {0, unload("a"), Map.of(2L, List.of(load("a")), 3L, List.of(load("b")), 4L, List.of(load("c"))), false},
+            {2, unloadAdapter("x0"), Map.of(2L, List.of(loadAdapter("x0")), 3L, List.of(loadAdapter("z"))), false},
+            {2, unloadAdapter("x0"), Map.of(2L, List.of(loadAdapter("x0"))), true},
             {1, loadAdapter("y"), Map.of(2L, List.of(loadAdapter("z"))), false},
             {1, loadAdapter("y"), Map.of(2L, List.of(loadAdapter("x0"))), true},
             {0, loadAdapter("y"), Map.of(2L, List.of(loadAdapter("z"))), true},
