Give the answer to a crash request time to leave on a busy machine

Cause, by reading: the stand-in cuts all connections 20 ms after it has accepted the request, on a timer that was made for another purpose. On a busy machine the answer may not have left by then.

Change: a time of its own, 200 ms.

Measured: the engine tests of the stand-ins pass (68 cases). The failure was not reproduced, and a long enough delay can still cut the answer.

--- a/agatehatch-standins/src/main/java/org/agatehatch/standins/engine/EngineStandIn.java
+++ b/agatehatch-standins/src/main/java/org/agatehatch/standins/engine/EngineStandIn.java
@@ -34,6 +34,10 @@
     private static final Duration TICK = Duration.ofMillis(10);
     private static final long MAX_WAIT_MILLIS = 30_000;
     private static final long CACHE_EVENT_POLL_MILLIS = 20;
+
+    /** The answer to the change that asks for a crash must leave before the connections are cut, also on a busy machine. */
+    private static final long CRASH_DELAY_MILLIS = 200;
+
     private static final double BYTES_PER_MIB = 1 << 20;
     private static final double MILLIS_PER_SECOND = 1_000;
     private static final String ATTEMPT_PATH = "/v1/attempts/";
@@ -158,8 +162,7 @@
     private void faultsChanged(EngineFaults changed) {
         if (changed.crashNow()) {
             faults.merge(Json.object().put("crash_now", false));
-            // The answer to the change must leave before the connections are cut.
-            listener.delayed(CACHE_EVENT_POLL_MILLIS).execute(this::crash);
+            listener.delayed(CRASH_DELAY_MILLIS).execute(this::crash);
         }
     }
 
