--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/LateOrdersTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/LateOrdersTest.java
@@ -35,7 +35,7 @@
                 .model("d", 72_700, 2);
     }
 
-    // The order of the review: the process restarts while a load is on its way, and its count reaches the expected one.
+    // Guards against a late load that a restarted runner accepts because its count of orders matches again.
     @Test
     public void a_restarted_runner_keeps_room_for_a_load_that_is_on_its_way() {
         ResidencyFixture fleet = fleet().runner("r1", "a", "b").start();
