Log and measure where a node's view of a topic comes from and how far it is behind

Callers saw requests handled by old configurations. New: large_topic_read, topic_behind, dependency_still_lost, node_message_unsent, config_applied, and metrics of the version in force, the age of views and failed reads. No logic changes.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/RelayedTopic.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/RelayedTopic.java
@@ -1,5 +1,6 @@
 package org.agatehatch.internal.process;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -29,6 +30,9 @@
 
     private static final Logger log = LoggerFactory.getLogger(RelayedTopic.class);
 
+    /** Size from which a read is logged. */
+    private static final int LARGE_READ_BYTES = 64 * 1024;
+
     /** Requests the changes from an offset on from a relay. */
     public interface Relay extends Function<TopicMessages.Request, CompletionStage<TopicMessages.Response>> {}
 
@@ -138,9 +142,11 @@
             Consumer<T> cacheUpdate,
             Supplier<CompletionStage<T>> fallback) {
         CompletableFuture<T> result = new CompletableFuture<>();
+        long sentNanos = clock.nanos();
         source.apply(new TopicMessages.Request(name, cache.era(), fromOffset))
                 .whenComplete((response, failure) -> control.execute(() -> {
                     if (failure == null && response.current()) {
+                        logRead("relay", sentNanos, fromOffset, response.entries(), response.nextOffset());
                         T value = converter.apply(response);
                         cacheUpdate.accept(value);
                         result.complete(value);
@@ -152,6 +158,23 @@
         return result;
     }
 
+    private void logRead(String source, long sentNanos, long fromOffset, List<Entry> entries, long nextOffset) {
+        long bytes = entries.stream()
+                .mapToLong(entry -> entry.value().map(value -> value.length).orElse(0))
+                .sum();
+        if (bytes >= LARGE_READ_BYTES) {
+            log.info(
+                    "event=large_topic_read topic={} source={} from={} next={} entries={} bytes={} took_ms={}",
+                    name,
+                    source,
+                    fromOffset,
+                    nextOffset,
+                    entries.size(),
+                    bytes,
+                    (clock.nanos() - sentNanos) / 1_000_000);
+        }
+    }
+
     private void onRelayFailure(Throwable failure) {
         if (!relayFailed) {
             log.info(
@@ -169,6 +192,7 @@
         return store.snapshot()
                 .thenApplyAsync(
                         snapshot -> {
+                            logRead("store", sentNanos, -1, snapshot.entries(), snapshot.endOffset());
                             if (cache.add(snapshot)) {
                                 cache.onStoreRead(sentNanos);
                             }
@@ -182,6 +206,7 @@
         return store.changes(fromOffset, waitMillis)
                 .thenApplyAsync(
                         changes -> {
+                            logRead("store", sentNanos, fromOffset, changes.entries(), changes.nextOffset());
                             if (cache.add(changes)) {
                                 cache.onStoreRead(waitMillis > 0 ? clock.nanos() : sentNanos);
                             }
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/TopicFollower.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/TopicFollower.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.agatehatch.api.fleet.KeyedTopic;
@@ -50,6 +51,9 @@
     /** Below all offsets. */
     private static final long UNREAD = -1;
 
+    /** Interval in which reads that go on to fail are logged again. */
+    private static final long REPORT_INTERVAL_MILLIS = 1_000;
+
     private final String name;
     private final KeyedTopic topic;
     private final TopicFollowerSettings settings;
@@ -61,9 +65,11 @@
     private final Map<String, Long> offsetByKey = new HashMap<>();
     private long nextOffset = UNREAD;
     private long era = -1;
-    private int consecutiveFailures;
+    private volatile int consecutiveFailures;
     private long recoveredNanos;
     private boolean everFailed;
+    private long failingSinceNanos;
+    private long failureReportedNanos;
     private boolean stopped;
     private volatile long currentAsOfNanos;
     private volatile long answeredNanos;
@@ -133,6 +139,16 @@
         return everCurrent && answeredNanos - nanos >= 0;
     }
 
+    /** Returns the age of the view; empty if the topic was never read up to its end. */
+    public OptionalLong viewAgeMillis() {
+        return everCurrent ? OptionalLong.of((clock.nanos() - currentAsOfNanos) / 1_000_000) : OptionalLong.empty();
+    }
+
+    /** Returns the number of reads that have failed since the last one that succeeded. */
+    public int failedReads() {
+        return consecutiveFailures;
+    }
+
     private void snapshot() {
         if (stopped) {
             return;
@@ -217,6 +233,7 @@
         guard.run("batch", () -> listener.onBatch(() -> changes.entries().forEach(this::apply)));
         nextOffset = Math.max(nextOffset, changes.nextOffset());
         if (nextOffset < changes.endOffset()) {
+            log.info("event=topic_behind topic={} position={} end={}", name, nextOffset, changes.endOffset());
             read();
             return;
         }
@@ -294,12 +311,36 @@
         consecutiveFailures = 0;
     }
 
+    private void reportFailure(String step, Throwable failure) {
+        long nowNanos = clock.nanos();
+        if (consecutiveFailures == 1) {
+            failingSinceNanos = nowNanos;
+            failureReportedNanos = nowNanos;
+            log.warn(
+                    "event=dependency_lost dependency=store/{} step={} position={} cause={}",
+                    name,
+                    step,
+                    nextOffset,
+                    failure.toString());
+            return;
+        }
+        if ((nowNanos - failureReportedNanos) / 1_000_000 >= REPORT_INTERVAL_MILLIS) {
+            failureReportedNanos = nowNanos;
+            log.warn(
+                    "event=dependency_still_lost dependency=store/{} step={} position={} failures={} since_ms={} cause={}",
+                    name,
+                    step,
+                    nextOffset,
+                    consecutiveFailures,
+                    (nowNanos - failingSinceNanos) / 1_000_000,
+                    failure.toString());
+        }
+    }
+
     private void onFailure(String step, Throwable failure) {
         consecutiveFailures++;
         everFailed = true;
-        if (consecutiveFailures == 1) {
-            log.warn("event=dependency_lost dependency=store/{} step={} cause={}", name, step, failure.toString());
-        }
+        reportFailure(step, failure);
         long pauseMillis = Backoff.millis(
                 consecutiveFailures, settings.initialBackoffMillis(), settings.maxBackoffMillis(), random);
         control.schedule(pauseMillis, nextOffset == UNREAD ? this::snapshot : this::read);
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/links/TcpPeerTransport.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/links/TcpPeerTransport.java
@@ -181,7 +181,17 @@
     }
 
     private static void write(Channel channel, PeerFrame frame) {
-        channel.writeAndFlush(Unpooled.wrappedBuffer(PeerFrameCodec.encode(frame)));
+        try {
+            channel.writeAndFlush(Unpooled.wrappedBuffer(PeerFrameCodec.encode(frame)));
+        } catch (AgatehatchException e) {
+            log.warn(
+                    "event=node_message_unsent kind={} type={} peer={} cause=\"{}\"",
+                    frame.kind(),
+                    frame.message().type(),
+                    channel.remoteAddress(),
+                    e.getMessage());
+            throw e;
+        }
     }
 
     private static AgatehatchException unreachable(String nodeAddress, String cause) {
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/metrics/GatewayMetrics.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/metrics/GatewayMetrics.java
@@ -2,6 +2,7 @@
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -9,13 +10,23 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 /** Prometheus metrics of the gateway. Thread-safe. */
 public final class GatewayMetrics {
     private static final double MILLIS_PER_SECOND = 1_000;
     private static final double[] LATENCY_BOUNDS_SECONDS = {0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12};
 
+    /** How recent a node's view of a topic is. */
+    private record TopicView(Supplier<OptionalLong> ageMillis, IntSupplier failedReads) {}
+
     private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final Map<String, TopicView> viewsByTopic = new ConcurrentHashMap<>();
+    private volatile LongSupplier configVersion = () -> -1;
     private final Gauge inFlight;
     private final Counter answers;
     private final Counter connections;
@@ -144,6 +155,40 @@
                 .classicUpperBounds(LATENCY_BOUNDS_SECONDS)
                 .classicOnly()
                 .register(registry);
+        registerViews();
+    }
+
+    private void registerViews() {
+        GaugeWithCallback.builder()
+                .name("agatehatch_config_version")
+                .help("Version of the configuration in force; negative before the first")
+                .callback(callback -> callback.call(configVersion.getAsLong()))
+                .register(registry);
+        GaugeWithCallback.builder()
+                .name("agatehatch_topic_view_age_seconds")
+                .help("Time since this node has known all records of a topic, by topic")
+                .labelNames("topic")
+                .callback(callback -> viewsByTopic.forEach((topic, view) -> view.ageMillis()
+                        .get()
+                        .ifPresent(ageMillis -> callback.call(ageMillis / MILLIS_PER_SECOND, topic))))
+                .register(registry);
+        GaugeWithCallback.builder()
+                .name("agatehatch_topic_failed_reads")
+                .help("Reads of a topic that have failed since the last one that succeeded, by topic")
+                .labelNames("topic")
+                .callback(callback -> viewsByTopic.forEach(
+                        (topic, view) -> callback.call(view.failedReads().getAsInt(), topic)))
+                .register(registry);
+    }
+
+    /** Exposes how recent a view of a topic is; its age is empty until the topic was read to its end. */
+    public void observeTopic(String topic, Supplier<OptionalLong> ageMillis, IntSupplier failedReads) {
+        viewsByTopic.put(topic, new TopicView(ageMillis, failedReads));
+    }
+
+    /** Exposes the version of the configuration in force. */
+    public void observeConfig(LongSupplier version) {
+        configVersion = version;
     }
 
     private Counter counter(String name, String help, String... labels) {
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
@@ -184,6 +184,9 @@
                 settings.otherSeedAddresses(), control, this::hasCompleteState, this::onPeerState);
         serverFollower = newFollower(
                 SERVER_TOPIC, serverTopic, TopicFollowerSettings.PERIODIC, peerBootstrap.recording(registry));
+        metrics.observeTopic(CONFIG_TOPIC, configFollower::viewAgeMillis, configFollower::failedReads);
+        metrics.observeTopic(SERVER_TOPIC, serverFollower::viewAgeMillis, serverFollower::failedReads);
+        metrics.observeConfig(() -> config.config().version());
         storeViews = new StoreViews(configFollower, serverFollower, softwareVersions, () -> nodes, clock);
         nodeGroup = new RelayedNodeGroup(platform.nodeGroup(), this::groupRelay);
         membership = newMembership();
@@ -555,12 +558,18 @@
     }
 
     private void onConfig(String key, byte[] value) {
+        long startNanos = clock.nanos();
         try {
             boolean accepted = platform.configDecoder()
                     .apply(key, value)
                     .map(config::updateIfNewer)
                     .orElse(false);
             if (accepted) {
+                log.info(
+                        "event=config_applied version={} bytes={} took_ms={}",
+                        config.config().version(),
+                        value.length,
+                        (clock.nanos() - startNanos) / 1_000_000);
                 peerBootstrap.recordConfig(value);
             }
         } catch (IllegalArgumentException e) {
