--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/RelayedTopic.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/RelayedTopic.java
@@ -10,6 +10,7 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.agatehatch.api.fleet.KeyedTopic;
+import org.agatehatch.api.peer.PeerMessage;
 import org.agatehatch.api.time.MonotonicClock;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -73,10 +74,15 @@
     }
 
     /** Returns the response to another node's request. */
-    public TopicMessages.Response respond(TopicMessages.Request request) {
+    TopicMessages.Response respond(TopicMessages.Request request) {
         return cache.respond(request.era(), request.fromOffset());
     }
 
+    /** Returns the response to another node's request as a message. */
+    public PeerMessage answer(TopicMessages.Request request) {
+        return TopicMessages.encode(respond(request));
+    }
+
     @Override
     public CompletionStage<Snapshot> snapshot() {
         Optional<Relay> source = usableRelay();
--- /dev/null
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/TopicRelayCacheTest.java
@@ -0,0 +1,113 @@
+package org.agatehatch.internal.process;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+import org.agatehatch.api.fleet.KeyedTopic;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against a relay that calls itself current although the store has records that the relay lacks. */
+public final class TopicRelayCacheTest {
+    private static final int ERA = 1;
+    private static final int READS = 8;
+    private static final long READ_INTERVAL_MILLIS = 600;
+
+    private VirtualTime time;
+    private ScriptedTopic store;
+    private RelayedTopic relay;
+
+    /** A topic whose answers are given by a test. */
+    private static final class ScriptedTopic implements KeyedTopic {
+        private Supplier<Snapshot> snapshot = () -> new Snapshot(List.of(entry(4)), 5, ERA);
+        private Supplier<Changes> changes = () -> new Changes(List.of(), 5, 5, false, ERA);
+
+        @Override
+        public CompletionStage<Snapshot> snapshot() {
+            return CompletableFuture.completedFuture(snapshot.get());
+        }
+
+        @Override
+        public CompletionStage<Changes> changes(long fromOffset, long waitMillis) {
+            return CompletableFuture.completedFuture(changes.get());
+        }
+
+        @Override
+        public CompletionStage<AppendResult> appendAt(String key, byte[] value, long expectedEnd) {
+            throw new UnsupportedOperationException("the tests append nothing");
+        }
+    }
+
+    @BeforeMethod
+    public void start() {
+        time = new VirtualTime();
+        store = new ScriptedTopic();
+        relay = new RelayedTopic("t", store, Optional::empty, () -> true, Arrays::equals, time.node(1), time);
+        relay.snapshot();
+        time.advance(1);
+    }
+
+    private static KeyedTopic.Entry entry(long offset) {
+        byte[] value = ("version " + offset).getBytes(StandardCharsets.UTF_8);
+        return new KeyedTopic.Entry("config", Optional.of(value), offset);
+    }
+
+    private boolean isCurrent() {
+        return relay.respond(new TopicMessages.Request("t", ERA, 5)).current();
+    }
+
+    private void read(Runnable read) {
+        for (int i = 0; i < READS; i++) {
+            time.advance(READ_INTERVAL_MILLIS);
+            read.run();
+            time.advance(1);
+        }
+    }
+
+    @Test
+    public void a_relay_that_reads_to_the_end_of_the_topic_is_current() {
+        read(() -> relay.changes(5, 0));
+        assertTrue(isCurrent());
+    }
+
+    @Test
+    public void a_relay_whose_reads_are_truncated_is_not_current() {
+        store.changes = () -> new KeyedTopic.Changes(List.of(), 5, 5, true, ERA);
+        read(() -> relay.changes(5, 0));
+        assertFalse(isCurrent());
+    }
+
+    @Test
+    public void a_relay_that_gets_older_snapshots_is_not_current() {
+        store.snapshot = () -> new KeyedTopic.Snapshot(List.of(entry(2)), 3, ERA);
+        read(relay::snapshot);
+        assertFalse(isCurrent());
+    }
+
+    @Test
+    public void a_relay_that_has_read_one_page_of_several_is_not_current() {
+        store.changes = () -> new KeyedTopic.Changes(List.of(entry(5)), 6, 40, false, ERA);
+        read(() -> relay.changes(5, 0));
+        assertFalse(isCurrent());
+    }
+
+    @Test
+    public void a_relay_is_current_again_once_it_has_read_the_last_page() {
+        store.changes = () -> new KeyedTopic.Changes(List.of(entry(5)), 6, 40, false, ERA);
+        read(() -> relay.changes(5, 0));
+        store.changes = () -> new KeyedTopic.Changes(List.of(entry(39)), 40, 40, false, ERA);
+        relay.changes(6, 0);
+        time.advance(1);
+        TopicMessages.Response response = relay.respond(new TopicMessages.Request("t", ERA, 5));
+        assertTrue(response.current());
+        assertEquals(response.nextOffset(), 40);
+    }
+}
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
@@ -516,8 +516,7 @@
                 CompletableFuture.supplyAsync(peerBootstrap::encodeState, control::execute);
             case TopicMessages.REQUEST_TYPE ->
                 CompletableFuture.supplyAsync(
-                        () -> TopicMessages.encode(answerTopicQuestion(TopicMessages.decodeRequest(message))),
-                        control::execute);
+                        () -> answerTopicQuestion(TopicMessages.decodeRequest(message)), control::execute);
             case RelayedNodeGroup.QUESTION_TYPE ->
                 CompletableFuture.supplyAsync(() -> nodeGroup.answer(message), control::execute)
                         .thenCompose(answer -> answer);
@@ -533,10 +532,10 @@
         };
     }
 
-    private TopicMessages.Response answerTopicQuestion(TopicMessages.Request question) {
+    private PeerMessage answerTopicQuestion(TopicMessages.Request question) {
         return switch (question.topic()) {
-            case CONFIG_TOPIC -> configTopic.respond(question);
-            case SERVER_TOPIC -> serverTopic.respond(question);
+            case CONFIG_TOPIC -> configTopic.answer(question);
+            case SERVER_TOPIC -> serverTopic.answer(question);
             default ->
                 throw new IllegalArgumentException(
                         "topic '" + question.topic() + "' is not relayed; the asking node runs another version");
