Fail a question between nodes whose message exceeds the frame limit

Callers saw changes of large configurations late: each reader waited 300 ms for an answer of its relay that could not be sent. Cause: the answer was encoded within whenComplete, so that the exception reached nobody. A question above the limit threw before its timeout was scheduled, and was never answered. The asker now gets a failure at once, and the link stays usable.

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/links/TcpPeerTransport.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/links/TcpPeerTransport.java
@@ -20,6 +20,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -47,6 +48,7 @@
 
     private static final int LENGTH_FIELD_BYTES = 4;
     private static final int CONNECT_TIMEOUT_MILLIS = 300;
+    private static final byte[] NO_BYTES = {};
 
     /** Handles messages from other nodes: requests, which are answered, and one-way notices. */
     @FunctionalInterface
@@ -121,7 +123,13 @@
             long timeoutMillis) {
         long correlation = ++lastCorrelationId;
         pendingRequests.put(correlation, new PendingRequest(channel, response));
-        write(channel, new PeerFrame(PeerFrame.Kind.QUESTION, correlation, message));
+        Optional<AgatehatchException> unsent =
+                write(channel, new PeerFrame(PeerFrame.Kind.QUESTION, correlation, message));
+        if (unsent.isPresent()) {
+            pendingRequests.remove(correlation);
+            response.completeExceptionally(unsent.get());
+            return;
+        }
         loop.schedule(
                 () -> {
                     if (pendingRequests.remove(correlation) != null) {
@@ -180,9 +188,11 @@
         };
     }
 
-    private static void write(Channel channel, PeerFrame frame) {
+    /** Writes a frame, and returns why it could not be encoded; empty if it was written. */
+    private static Optional<AgatehatchException> write(Channel channel, PeerFrame frame) {
         try {
             channel.writeAndFlush(Unpooled.wrappedBuffer(PeerFrameCodec.encode(frame)));
+            return Optional.empty();
         } catch (AgatehatchException e) {
             log.warn(
                     "event=node_message_unsent kind={} type={} peer={} cause=\"{}\"",
@@ -190,7 +200,7 @@
                     frame.message().type(),
                     channel.remoteAddress(),
                     e.getMessage());
-            throw e;
+            return Optional.of(e);
         }
     }
 
@@ -214,10 +224,15 @@
         }
 
         private void onQuestion(Channel channel, PeerFrame request) {
+            PeerFrame failed = new PeerFrame(
+                    PeerFrame.Kind.FAILURE, request.correlationId(), new PeerMessage("failure", NO_BYTES));
             receive(request.message()).whenComplete((reply, failure) -> {
-                PeerFrame.Kind kind = failure == null ? PeerFrame.Kind.ANSWER : PeerFrame.Kind.FAILURE;
-                PeerMessage message = failure == null ? reply : new PeerMessage("failure", new byte[0]);
-                write(channel, new PeerFrame(kind, request.correlationId(), message));
+                if (failure != null) {
+                    write(channel, failed);
+                    return;
+                }
+                write(channel, new PeerFrame(PeerFrame.Kind.ANSWER, request.correlationId(), reply))
+                        .ifPresent(unsent -> write(channel, failed));
             });
         }
 
