Compress large values in messages between nodes

Callers saw requests handled by old configurations: a record above the frame limit of 256 KiB could not pass from a relay to its readers, nor to a starting node, so that all nodes read each version from the store, at 0.26 s of a link of 10 Mbit/s for 326 KB. A request says that its sender accepts compressed values, so that nodes of the former release still get plain ones; a relay compresses a value once for all its readers.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/RelayedTopic.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/RelayedTopic.java
@@ -44,6 +44,7 @@
     private final ControlThread control;
     private final MonotonicClock clock;
     private final TopicRelayCache cache;
+    private final ValueDeflater deflater = new ValueDeflater();
     private boolean relayFailed;
     private long relayFailedNanos;
 
@@ -80,7 +81,10 @@
 
     /** Returns the response to another node's request as a message. */
     public PeerMessage answer(TopicMessages.Request request) {
-        return TopicMessages.encode(respond(request));
+        TopicMessages.Response response = respond(request);
+        return request.acceptsDeflated()
+                ? TopicMessages.encodeDeflated(response, deflater)
+                : TopicMessages.encode(response);
     }
 
     @Override
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/StateMessages.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/StateMessages.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.agatehatch.api.peer.PeerMessage;
+import org.agatehatch.internal.version.record.DeflatedBytes;
 import org.agatehatch.internal.version.record.Fields;
 import org.agatehatch.internal.version.record.MessagePackValues;
 
@@ -19,6 +20,9 @@
     /** Message type of the response. */
     public static final String RESPONSE_TYPE = "state";
 
+    /** Largest configuration record that is accepted after decompression; the store accepts no larger record. */
+    private static final int MAX_CONFIG_BYTES = 8 * 1024 * 1024;
+
     private StateMessages() {}
 
     /**
@@ -33,31 +37,48 @@
         }
     }
 
-    /** Creates a request. */
+    /** Creates a request, whose response may contain a compressed configuration. */
     public static PeerMessage request() {
-        return new PeerMessage(REQUEST_TYPE, MessagePackValues.encode(Map.of()));
+        return new PeerMessage(REQUEST_TYPE, MessagePackValues.encode(Map.of("z", true)));
+    }
+
+    /** Encodes the response to a request. A large configuration is compressed if the requesting node accepts it. */
+    public static PeerMessage respond(PeerMessage request, StoredState state, ValueDeflater deflater) {
+        byte[] config = state.config().orElse(new byte[0]);
+        return acceptsDeflated(request) && ValueDeflater.applies(config)
+                ? encode(state, Map.of("c", deflater.deflate(config), "z", config.length))
+                : encode(state, Map.of("c", config));
     }
 
-    /** Encodes a response. */
-    public static PeerMessage encode(StoredState state) {
+    private static boolean acceptsDeflated(PeerMessage request) {
+        Fields fields = fields(request);
+        return fields.has("z") && fields.flag("z");
+    }
+
+    private static PeerMessage encode(StoredState state, Map<String, Object> config) {
         List<Object> servers = new ArrayList<>();
         state.servers().forEach((key, value) -> servers.add(Map.of("k", key, "v", value)));
-        Map<String, Object> body = new LinkedHashMap<>();
-        body.put("c", state.config().orElse(new byte[0]));
+        Map<String, Object> body = new LinkedHashMap<>(config);
         body.put("s", servers);
         return new PeerMessage(RESPONSE_TYPE, MessagePackValues.encode(body));
     }
 
     /** Decodes a response. */
     public static StoredState decode(PeerMessage message) {
+        Fields fields = fields(message);
+        byte[] config = fields.has("z")
+                ? DeflatedBytes.inflate(fields.bytes("c"), fields.integer("z"), MAX_CONFIG_BYTES)
+                : fields.bytes("c");
+        Map<String, byte[]> servers = new LinkedHashMap<>();
+        fields.maps("s").forEach(entry -> servers.put(entry.text("k"), entry.bytes("v")));
+        return new StoredState(config.length == 0 ? Optional.empty() : Optional.of(config), servers);
+    }
+
+    private static Fields fields(PeerMessage message) {
         try {
-            Fields fields = new Fields(MessagePackValues.decode(message.body()));
-            byte[] config = fields.bytes("c");
-            Map<String, byte[]> servers = new LinkedHashMap<>();
-            fields.maps("s").forEach(entry -> servers.put(entry.text("k"), entry.bytes("v")));
-            return new StoredState(config.length == 0 ? Optional.empty() : Optional.of(config), servers);
+            return new Fields(MessagePackValues.decode(message.body()));
         } catch (MessagePackValues.MalformedValueException e) {
-            throw new IllegalArgumentException("a peer sent a malformed copy of the store's records", e);
+            throw new IllegalArgumentException("a peer sent a malformed '" + message.type() + "' message", e);
         }
     }
 }
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/TopicMessages.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/TopicMessages.java
@@ -5,8 +5,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
 import org.agatehatch.api.fleet.KeyedTopic;
 import org.agatehatch.api.peer.PeerMessage;
+import org.agatehatch.internal.version.record.DeflatedBytes;
 import org.agatehatch.internal.version.record.Fields;
 import org.agatehatch.internal.version.record.MessagePackValues;
 
@@ -17,6 +19,9 @@
     /** Message type of a {@link Response}. */
     public static final String RESPONSE_TYPE = "topic";
 
+    /** Largest value that is accepted after decompression; the store accepts no larger record. */
+    private static final int MAX_VALUE_BYTES = 8 * 1024 * 1024;
+
     private TopicMessages() {}
 
     /**
@@ -24,8 +29,14 @@
      *
      * @param era era of the store in which the requesting node has read the topic; negative if it has not
      * @param fromOffset first offset that the requesting node has not read; negative to request all records
+     * @param acceptsDeflated whether large values may be compressed in the response
      */
-    public record Request(String topic, long era, long fromOffset) {}
+    public record Request(String topic, long era, long fromOffset, boolean acceptsDeflated) {
+        /** Creates a request of this release, which accepts compressed values. */
+        public Request(String topic, long era, long fromOffset) {
+            this(topic, era, fromOffset, true);
+        }
+    }
 
     /**
      * The changed records of a topic.
@@ -49,21 +60,49 @@
     public static PeerMessage encode(Request request) {
         return new PeerMessage(
                 REQUEST_TYPE,
-                MessagePackValues.encode(Map.of("t", request.topic(), "a", request.era(), "f", request.fromOffset())));
+                MessagePackValues.encode(Map.of(
+                        "t",
+                        request.topic(),
+                        "a",
+                        request.era(),
+                        "f",
+                        request.fromOffset(),
+                        "z",
+                        request.acceptsDeflated())));
     }
 
     /** Decodes a request. */
     public static Request decodeRequest(PeerMessage message) {
         Fields fields = fields(message);
-        return new Request(fields.text("t"), fields.integer("a"), fields.integer("f"));
+        return new Request(
+                fields.text("t"), fields.integer("a"), fields.integer("f"), fields.has("z") && fields.flag("z"));
     }
 
-    /** Encodes a response. */
+    /** Encodes a response without compression. */
     public static PeerMessage encode(Response response) {
+        return encode(response, TopicMessages::plainEntry);
+    }
+
+    /** Encodes a response whose large values are compressed: a record may be larger than a message between nodes. */
+    static PeerMessage encodeDeflated(Response response, ValueDeflater deflater) {
+        return encode(
+                response,
+                entry -> entry.value().filter(ValueDeflater::applies).isPresent()
+                        ? deflatedEntry(entry, entry.value().get(), deflater)
+                        : plainEntry(entry));
+    }
+
+    private static Map<String, Object> plainEntry(KeyedTopic.Entry entry) {
+        return Map.of("k", entry.key(), "v", entry.value().orElse(new byte[0]), "o", entry.offset());
+    }
+
+    private static Map<String, Object> deflatedEntry(KeyedTopic.Entry entry, byte[] value, ValueDeflater deflater) {
+        return Map.of("k", entry.key(), "v", deflater.deflate(value), "o", entry.offset(), "z", value.length);
+    }
+
+    private static PeerMessage encode(Response response, Function<KeyedTopic.Entry, Map<String, Object>> encoder) {
         List<Object> entries = new ArrayList<>();
-        for (KeyedTopic.Entry entry : response.entries()) {
-            entries.add(Map.of("k", entry.key(), "v", entry.value().orElse(new byte[0]), "o", entry.offset()));
-        }
+        response.entries().forEach(entry -> entries.add(encoder.apply(entry)));
         Map<String, Object> body = new LinkedHashMap<>();
         body.put("c", response.current());
         body.put("g", response.truncated());
@@ -77,12 +116,15 @@
     public static Response decodeResponse(PeerMessage message) {
         Fields fields = fields(message);
         List<KeyedTopic.Entry> entries = fields.maps("e").stream()
-                .map(entry -> new KeyedTopic.Entry(entry.text("k"), value(entry.bytes("v")), entry.integer("o")))
+                .map(entry -> new KeyedTopic.Entry(entry.text("k"), value(entry), entry.integer("o")))
                 .toList();
         return new Response(fields.flag("c"), fields.flag("g"), entries, fields.integer("n"), fields.integer("a"));
     }
 
-    private static Optional<byte[]> value(byte[] bytes) {
+    private static Optional<byte[]> value(Fields entry) {
+        byte[] bytes = entry.has("z")
+                ? DeflatedBytes.inflate(entry.bytes("v"), entry.integer("z"), MAX_VALUE_BYTES)
+                : entry.bytes("v");
         return bytes.length == 0 ? Optional.empty() : Optional.of(bytes);
     }
 
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
@@ -513,7 +513,7 @@
     private CompletionStage<PeerMessage> onPeerMessage(PeerMessage message) {
         return switch (message.type()) {
             case StateMessages.REQUEST_TYPE ->
-                CompletableFuture.supplyAsync(peerBootstrap::encodeState, control::execute);
+                CompletableFuture.supplyAsync(() -> peerBootstrap.respond(message), control::execute);
             case TopicMessages.REQUEST_TYPE ->
                 CompletableFuture.supplyAsync(
                         () -> answerTopicQuestion(TopicMessages.decodeRequest(message)), control::execute);
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/PeerStateBootstrap.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/PeerStateBootstrap.java
@@ -11,6 +11,7 @@
 import org.agatehatch.internal.process.ControlThread;
 import org.agatehatch.internal.process.StateMessages;
 import org.agatehatch.internal.process.TopicFollower;
+import org.agatehatch.internal.process.ValueDeflater;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -33,6 +34,7 @@
     private final BooleanSupplier hasCompleteState;
     private final Consumer<StateMessages.StoredState> receiver;
     private final Map<String, byte[]> serverRecords = new LinkedHashMap<>();
+    private final ValueDeflater configDeflater = new ValueDeflater();
     private Optional<byte[]> configRecord = Optional.empty();
     private int nextPeer;
 
@@ -118,9 +120,10 @@
         configRecord = Optional.of(record);
     }
 
-    /** Returns the recorded state as a message to a peer. */
-    PeerMessage encodeState() {
-        return StateMessages.encode(new StateMessages.StoredState(configRecord, serverRecords));
+    /** Returns the recorded state in response to a peer's request. */
+    PeerMessage respond(PeerMessage request) {
+        return StateMessages.respond(
+                request, new StateMessages.StoredState(configRecord, serverRecords), configDeflater);
     }
 
     private void requestState(TcpPeerTransport transport) {
