Call a relay current only if it has read the topic up to its end

Callers could see requests handled by old configurations at nodes that were never out of reach.

Evidence: three methods of TopicRelayCacheTest failed with 'expected [false] but found [true]', and pass. The cache now says whether it has all records up to the end that the read named; else its last complete read ages until readers turn to the store.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/TopicRelayCache.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/TopicRelayCache.java
@@ -46,7 +46,7 @@
         this.clock = clock;
     }
 
-    /** Records a successful read of the store; {@code asOfNanos} is the time as of which its result is up to date. */
+    /** Records that the cache had all records of the store as of a time. */
     void onStoreRead(long asOfNanos) {
         everReadStore = true;
         storeReadNanos = asOfNanos;
@@ -68,27 +68,21 @@
         return observed == era;
     }
 
-    /** Adds changes that this node has read, and returns whether they are of the newest era. */
+    /** Adds changes that this node has read, and returns whether the cache now has all records up to the topic's end. */
     boolean add(KeyedTopic.Changes changes) {
-        if (!acceptEra(changes.era())) {
+        if (!acceptEra(changes.era()) || changes.truncated() || nextOffset < 0) {
             return false;
         }
-        if (changes.truncated() || nextOffset < 0) {
-            return true;
-        }
         changes.entries().forEach(this::add);
         nextOffset = Math.max(nextOffset, changes.nextOffset());
-        return true;
+        return nextOffset >= changes.endOffset();
     }
 
-    /** Adds a snapshot that this node has read, and returns whether it is of the newest era. */
+    /** Adds a snapshot that this node has read, and returns whether the cache now has all records up to the topic's end. */
     boolean add(KeyedTopic.Snapshot snapshot) {
-        if (!acceptEra(snapshot.era())) {
+        if (!acceptEra(snapshot.era()) || snapshot.endOffset() < nextOffset) {
             return false;
         }
-        if (snapshot.endOffset() < nextOffset) {
-            return true;
-        }
         Set<String> present = new HashSet<>();
         for (KeyedTopic.Entry entry : snapshot.entries()) {
             present.add(entry.key());
