Let nodes with small links catch up with a topic

Cause: one read returned all versions since, up to 1 MB, and had to end within 900 ms; on a link of 10 Mbit/s beside callers it did not, and was repeated at the same position without end.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/TopicFollower.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/TopicFollower.java
@@ -231,16 +231,26 @@
             return;
         }
         guard.run("batch", () -> listener.onBatch(() -> changes.entries().forEach(this::apply)));
+        boolean progress = changes.nextOffset() > nextOffset;
         nextOffset = Math.max(nextOffset, changes.nextOffset());
         if (nextOffset < changes.endOffset()) {
-            log.info("event=topic_behind topic={} position={} end={}", name, nextOffset, changes.endOffset());
-            read();
+            readOn(changes.endOffset(), progress);
             return;
         }
         onCurrent(sentNanos, waitMillis);
         readAfterPause();
     }
 
+    /** Reads the last record that is missing, or the newest of each key in place of several: those between are of no use. */
+    private void readOn(long endOffset, boolean progress) {
+        log.info("event=topic_behind topic={} position={} end={}", name, nextOffset, endOffset);
+        if (progress && endOffset - nextOffset == 1) {
+            read();
+        } else {
+            snapshot();
+        }
+    }
+
     private void apply(KeyedTopic.Snapshot snapshot, long sentNanos) {
         if (!acceptEra(snapshot.era())) {
             retryStale();
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/PooledHttpClient.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/PooledHttpClient.java
@@ -12,6 +12,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.ByteArrayOutputStream;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
@@ -28,6 +29,8 @@
      * A request with its limits.
      *
      * @param step name of the call in error messages
+     * @param timeoutMillis maximum time until the response begins; without transfer limits, until it ends
+     * @param transfer limits that replace the timeout once the response has begun, for responses whose size varies
      * @param maxIdleMillis maximum time for which a reused connection may have been idle
      * @param maxResponseBytes maximum size of the response's body; a larger one fails the call
      */
@@ -39,9 +42,45 @@
             Map<String, String> headers,
             byte[] body,
             long timeoutMillis,
+            Optional<TransferLimits> transfer,
             long maxIdleMillis,
             int maxResponseBytes,
-            String step) {}
+            String step) {
+        /** Creates a call whose response must end within its timeout. */
+        public Call(
+                PeerAddress address,
+                String process,
+                HttpMethod method,
+                String target,
+                Map<String, String> headers,
+                byte[] body,
+                long timeoutMillis,
+                long maxIdleMillis,
+                int maxResponseBytes,
+                String step) {
+            this(
+                    address,
+                    process,
+                    method,
+                    target,
+                    headers,
+                    body,
+                    timeoutMillis,
+                    Optional.empty(),
+                    maxIdleMillis,
+                    maxResponseBytes,
+                    step);
+        }
+    }
+
+    /**
+     * Limits of a response that has begun. A transfer that makes progress is worth more than its repetition: a fixed timeout on a slow
+     * link would end each attempt at the same point.
+     *
+     * @param silenceMillis maximum time between two parts
+     * @param totalMillis maximum time from the head to the end
+     */
+    public record TransferLimits(long silenceMillis, long totalMillis) {}
 
     /** A complete response. */
     public record Response(int status, HttpHeaders headers, byte[] body) {}
@@ -71,6 +110,7 @@
         private ScheduledFuture<?> timeout;
         private BackendConnection connection;
         private HttpResponse head;
+        private Optional<ScheduledFuture<?>> transferTimeout = Optional.empty();
         private boolean completed;
 
         private PendingCall(Call call) {
@@ -78,7 +118,8 @@
         }
 
         private void start() {
-            timeout = loop.schedule(this::onTimeout, call.timeoutMillis(), TimeUnit.MILLISECONDS);
+            timeout =
+                    schedule(() -> onTimeout("no answer within " + call.timeoutMillis() + " ms"), call.timeoutMillis());
             pool.acquire(call.address(), call.process(), call.maxIdleMillis(), this);
         }
 
@@ -108,9 +149,28 @@
         @Override
         public Disposition onHead(HttpResponse received) {
             head = received;
+            call.transfer().ifPresent(limits -> {
+                transferTimeout.ifPresent(previous -> previous.cancel(false));
+                transferTimeout = Optional.of(schedule(
+                        () -> onTimeout("the answer did not end within " + limits.totalMillis() + " ms"),
+                        limits.totalMillis()));
+                expectProgress(limits);
+            });
             return Disposition.ACCEPT;
         }
 
+        private void expectProgress(TransferLimits limits) {
+            timeout.cancel(false);
+            timeout = schedule(
+                    () -> onTimeout("no more of the answer within " + limits.silenceMillis() + " ms, after "
+                            + body.size() + " bytes"),
+                    limits.silenceMillis());
+        }
+
+        private ScheduledFuture<?> schedule(Runnable task, long delayMillis) {
+            return loop.schedule(task, delayMillis, TimeUnit.MILLISECONDS);
+        }
+
         @Override
         public void onContent(ByteBuf content) {
             if (body.size() + content.readableBytes() > call.maxResponseBytes()) {
@@ -121,6 +181,7 @@
             byte[] bytes = new byte[content.readableBytes()];
             content.readBytes(bytes);
             body.writeBytes(bytes);
+            call.transfer().ifPresent(this::expectProgress);
         }
 
         @Override
@@ -137,13 +198,11 @@
             fail(Outcome.UNKNOWN, cause);
         }
 
-        private void onTimeout() {
+        private void onTimeout(String cause) {
             if (connection != null) {
                 connection.abort();
             }
-            fail(
-                    connection == null ? Outcome.NOT_RUN : Outcome.UNKNOWN,
-                    "no answer within " + call.timeoutMillis() + " ms");
+            fail(connection == null ? Outcome.NOT_RUN : Outcome.UNKNOWN, cause);
         }
 
         private void fail(Outcome outcome, String cause) {
@@ -162,6 +221,7 @@
         private void finish() {
             completed = true;
             timeout.cancel(false);
+            transferTimeout.ifPresent(running -> running.cancel(false));
         }
     }
 }
