Refuse an unknown route for a time, not for good, while the configuration may be old

Callers got 404 for routes that had been added at nodes that had heard nothing of the configuration for seconds, and a 404 is final. Cause: only keys were judged by the age of the view, routes were not. Evidence: without the change WireCasesTest.a_route_that_an_old_configuration_lacks_is_refused_with_a_time_to_return fails, as the answer is 404; it passes now. Such a node answers 503 with Retry-After, as it does for a key that it does not know; another node may know the route.

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/StoreViews.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/StoreViews.java
@@ -13,7 +13,7 @@
     private static final long MAX_VERSION_VIEW_AGE_MILLIS = 2_000;
 
     /**
-     * Age of the last answer about the configuration up to which a key that is not in it is unknown. Answers arrive at least every
+     * Age of the last answer about the configuration up to which a key or a route that is not in it is unknown. Answers arrive at least every
      * 2 s while a source is in reach.
      */
     private static final long MAX_CONFIG_ANSWER_AGE_MILLIS = 3_000;
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Exchange.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Exchange.java
@@ -97,7 +97,7 @@
                 request.head().headers().get(HttpHeaderNames.HOST, ""),
                 request.head().uri());
         if (found.isEmpty()) {
-            respondLocally(HttpResponseStatus.NOT_FOUND, "no_route", OptionalLong.empty());
+            onNoRoute();
             return;
         }
         route = found.get();
@@ -114,6 +114,15 @@
         startForwarding();
     }
 
+    private void onNoRoute() {
+        if (context.configViewRecent().getAsBoolean()) {
+            respondLocally(HttpResponseStatus.NOT_FOUND, "no_route", OptionalLong.empty());
+            return;
+        }
+        // The route may have been added since, and callers send nothing again after a 404.
+        refuse("route_not_known_yet", context.timeouts().modelLoadRetryAfterMillis());
+    }
+
     private void startForwarding() {
         service = TrafficSplit.pick(route.services(), context.random());
         machine = new ForwardingStateMachine(route, () -> context.retryBudget().tryTake(service));
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ExchangeContext.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ExchangeContext.java
@@ -22,7 +22,7 @@
  * Objects shared by all exchanges of a process.
  *
  * @param serverViewAsOf whether this node knows all backend servers that the store knew at a time of the clock, in nanoseconds
- * @param configViewRecent whether this node has heard of the configuration in force recently enough to call a key unknown
+ * @param configViewRecent whether this node has heard of the configuration in force recently enough to call a key or a route unknown
  * @param life how long this process goes on serving
  */
 public record ExchangeContext(
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/WireCasesTest.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/WireCasesTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
+import java.util.Locale;
 import org.agatehatch.gateway.ScriptedServer.AfterResponse;
 import org.agatehatch.gateway.ScriptedServer.ScriptedResponse;
 import org.testng.annotations.AfterMethod;
@@ -260,6 +261,18 @@
         assertTrue(one.connections.get() + two.connections.get() <= 2);
     }
 
+    // Guards against refusing a route for good that was added while this node heard nothing of the configuration.
+    @Test
+    public void a_route_that_an_old_configuration_lacks_is_refused_with_a_time_to_return() throws IOException {
+        gateway.viewIsRecent = false;
+        try (RawCaller caller = new RawCaller(gateway.port)) {
+            caller.send(RawCaller.request("GET", "/nowhere/1", "", ""));
+            String response = caller.readUntil("\r\n\r\n");
+            assertTrue(response.startsWith("HTTP/1.1 503 "), response);
+            assertTrue(response.toLowerCase(Locale.ROOT).contains("retry-after: "), response);
+        }
+    }
+
     @Test
     public void a_node_without_a_configuration_answers_503_and_not_404() throws IOException {
         try (TestGateway fresh = new TestGateway(one);
