Answer questions over node links with a failure if their answer cannot be sent

A node of the daemon that asked another one learned only from its time-out that the answer had not fitted into a frame: encoding threw inside a callback, so nothing was sent. A failure with a long reason was lost the same way, and a handler that threw closed the link with all other questions on it.

Encoding happens before the sequence number of a frame is used, so a failure can be sent on the same link in place of the answer. The reason is cut to 1,024 characters.

Tests that failed before (PeerLinksTest): an_answer_above_the_frame_limit_is_reported_to_the_asker_and_the_link_stays: java.util.concurrent.TimeoutException expected [true] but found [false]; a_failure_with_a_long_reason_is_reported_to_the_asker: not reported as a failure expected [true] but found [false]; a_question_whose_handler_throws_fails_alone: the peer link was closed expected [true] but found [false].

--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/links/PeerLink.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/links/PeerLink.java
@@ -19,6 +19,9 @@
 
 /** One authenticated connection to another node. */
 public final class PeerLink {
+    /** Keeps a failure far below the frame limit. */
+    private static final int MAX_REASON_CHARS = 1_024;
+
     private final String id;
     private final boolean outgoing;
     private final PeerSession session;
@@ -127,16 +130,35 @@
     }
 
     private void answer(PeerFrame question) {
-        handler.onQuestion(this, question.message()).whenComplete((reply, failure) -> {
-            if (failure == null) {
-                sendFrame(new PeerFrame(PeerFrame.Kind.ANSWER, question.correlationId(), reply));
+        handle(question.message()).whenComplete((reply, failure) -> {
+            if (failure != null) {
+                sendFailure(question.correlationId(), failure);
                 return;
             }
-            byte[] text = String.valueOf(failure.getMessage()).getBytes(StandardCharsets.UTF_8);
-            sendFrame(new PeerFrame(PeerFrame.Kind.FAILURE, question.correlationId(), new PeerMessage("error", text)));
+            try {
+                sendFrame(new PeerFrame(PeerFrame.Kind.ANSWER, question.correlationId(), reply));
+            } catch (AgatehatchException e) {
+                // The answer does not fit into a frame.
+                sendFailure(question.correlationId(), e);
+            }
         });
     }
 
+    private CompletionStage<PeerMessage> handle(PeerMessage question) {
+        try {
+            return handler.onQuestion(this, question);
+        } catch (RuntimeException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+
+    private void sendFailure(long correlationId, Throwable failure) {
+        String reason = String.valueOf(failure.getMessage());
+        String text = reason.substring(0, Math.min(reason.length(), MAX_REASON_CHARS));
+        PeerMessage message = new PeerMessage("error", text.getBytes(StandardCharsets.UTF_8));
+        sendFrame(new PeerFrame(PeerFrame.Kind.FAILURE, correlationId, message));
+    }
+
     private void complete(PeerFrame answer) {
         CompletableFuture<PeerMessage> question = questions.remove(answer.correlationId());
         if (question != null) {
--- a/agatehatch-daemon/src/test/java/org/agatehatch/daemon/links/PeerLinksTest.java
+++ b/agatehatch-daemon/src/test/java/org/agatehatch/daemon/links/PeerLinksTest.java
@@ -2,6 +2,8 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
 
 import java.io.IOException;
 import java.io.OutputStream;
@@ -16,6 +18,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import org.agatehatch.api.peer.PeerMessage;
+import org.agatehatch.internal.connection.PeerFrameCodec;
 import org.apache.pekko.actor.ActorSystem;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
@@ -78,6 +81,41 @@
         assertEquals(ask(client, port, "after"), "answer to after");
     }
 
+    /** Guards against an asker that learns of an answer above the frame limit only when its time-out ends. */
+    @Test
+    public void an_answer_above_the_frame_limit_is_reported_to_the_asker_and_the_link_stays() {
+        int port = serve(new SizedAnswerHandler(PeerFrameCodec.MAX_FRAME_BYTES + 1));
+        PeerLinks client = client(KEY);
+
+        CompletionException failure = expectThrows(CompletionException.class, () -> ask(client, port, "large"));
+
+        assertTrue(failure.getMessage().contains("exceeds the limit"), failure.getMessage());
+        assertEquals(ask(client, port, "small"), "answer to small");
+        assertEquals(client.links().size(), 1);
+    }
+
+    /** Guards against a reason of a failure that is itself above the frame limit, and then never sent. */
+    @Test
+    public void a_failure_with_a_long_reason_is_reported_to_the_asker() {
+        int port = serve(new FailingHandler("x".repeat(PeerFrameCodec.MAX_FRAME_BYTES + 1)));
+
+        CompletionException failure = expectThrows(CompletionException.class, () -> ask(client(KEY), port, "anything"));
+
+        assertTrue(failure.getMessage().contains("the peer reported a failure"), "not reported as a failure");
+    }
+
+    /** Guards against a handler that throws, which closed the link and left its other questions unanswered. */
+    @Test
+    public void a_question_whose_handler_throws_fails_alone() {
+        int port = serve(new FailingHandler(""));
+        PeerLinks client = client(KEY);
+
+        CompletionException failure = expectThrows(CompletionException.class, () -> ask(client, port, "throw"));
+
+        assertTrue(failure.getMessage().contains("the peer reported a failure"), failure.getMessage());
+        assertEquals(client.links().size(), 1);
+    }
+
     private static void sendMalformedFrameUntilClosed(int port) throws IOException {
         try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
             OutputStream output = socket.getOutputStream();
@@ -98,18 +136,59 @@
     }
 
     private int serve() {
-        return links("server", KEY).bind("127.0.0.1", 0).toCompletableFuture().join();
+        return serve(new EchoHandler());
+    }
+
+    private int serve(PeerHandler handler) {
+        return links("server", KEY, handler)
+                .bind("127.0.0.1", 0)
+                .toCompletableFuture()
+                .join();
     }
 
     private PeerLinks client(String key) {
-        return links("client", key);
+        return links("client", key, new EchoHandler());
     }
 
-    private PeerLinks links(String name, String key) {
-        return new PeerLinks(system, name, key, new SecureRandom(), new EchoHandler());
+    private PeerLinks links(String name, String key, PeerHandler handler) {
+        return new PeerLinks(system, name, key, new SecureRandom(), handler);
+    }
+
+    /** Answers the question "large" with a body of a given size. */
+    private static final class SizedAnswerHandler extends EchoHandler {
+        private final int bodyBytes;
+
+        private SizedAnswerHandler(int bodyBytes) {
+            this.bodyBytes = bodyBytes;
+        }
+
+        @Override
+        public CompletionStage<PeerMessage> onQuestion(PeerLink link, PeerMessage message) {
+            String text = new String(message.body(), StandardCharsets.UTF_8);
+            return text.equals("large")
+                    ? CompletableFuture.completedFuture(new PeerMessage("echo", new byte[bodyBytes]))
+                    : super.onQuestion(link, message);
+        }
+    }
+
+    /** Fails each question with a reason, or throws if the question is "throw". */
+    private static final class FailingHandler extends EchoHandler {
+        private final String reason;
+
+        private FailingHandler(String reason) {
+            this.reason = reason;
+        }
+
+        @Override
+        public CompletionStage<PeerMessage> onQuestion(PeerLink link, PeerMessage message) {
+            if (new String(message.body(), StandardCharsets.UTF_8).equals("throw")) {
+                throw new IllegalStateException("the handler failed");
+            }
+            return CompletableFuture.failedFuture(new IllegalStateException(reason));
+        }
     }
 
-    private static final class EchoHandler implements PeerHandler {
+    private static class EchoHandler implements PeerHandler {
         @Override
         public void onOpen(PeerLink link) {}
 
