Accept frames over node links up to the largest size that is sent

A frame within 16 bytes of the limit passed the sender's check, which does not count the message authentication code, and exceeded the receiver's, which did. The receiver closed the link, and would again at each repetition.

The receiver's limit now follows from what sealing can produce.

PeerLinksTest.the_largest_frame_that_is_sent_is_received failed before: the peer link was closed.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/connection/PeerFrameCodec.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/connection/PeerFrameCodec.java
@@ -15,7 +15,7 @@
  * ignores elements after the known ones, so that a later release can add elements.
  */
 public final class PeerFrameCodec {
-    /** Largest frame that a link accepts. {@link #encode} checks it without the message authentication code. */
+    /** Largest frame that a link accepts, without the length and the message authentication code that a link may add. */
     public static final int MAX_FRAME_BYTES = 256 * 1024;
     /** Protocol version that this release writes. */
     public static final int PROTOCOL_VERSION = 1;
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/connection/PeerSession.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/connection/PeerSession.java
@@ -29,6 +29,10 @@
     public static final int NONCE_BYTES = 16;
 
     private static final int MAC_BYTES = 16;
+
+    /** Largest result of {@link #seal}. */
+    public static final int MAX_SEALED_BYTES = PeerFrameCodec.MAX_FRAME_BYTES + MAC_BYTES;
+
     private static final int MAX_NAME_BYTES = 256;
     private static final String ALGORITHM = "HmacSHA256";
 
--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/links/PeerLinks.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/links/PeerLinks.java
@@ -18,7 +18,6 @@
 import java.util.function.Consumer;
 import org.agatehatch.api.peer.PeerMessage;
 import org.agatehatch.api.peer.PeerTransport;
-import org.agatehatch.internal.connection.PeerFrameCodec;
 import org.agatehatch.internal.connection.PeerSession;
 import org.apache.pekko.Done;
 import org.apache.pekko.NotUsed;
@@ -192,7 +191,7 @@
     }
 
     private static Flow<ByteString, ByteString, NotUsed> decoder() {
-        int maxBytes = PeerFrameCodec.MAX_FRAME_BYTES + Integer.BYTES;
+        int maxBytes = PeerSession.MAX_SEALED_BYTES + Integer.BYTES;
         return Framing.lengthField(Integer.BYTES, 0, maxBytes, ByteOrder.BIG_ENDIAN)
                 .map(frame -> frame.drop(Integer.BYTES));
     }
--- a/agatehatch-daemon/src/test/java/org/agatehatch/daemon/links/PeerLinksTest.java
+++ b/agatehatch-daemon/src/test/java/org/agatehatch/daemon/links/PeerLinksTest.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import org.agatehatch.api.peer.PeerMessage;
+import org.agatehatch.internal.connection.PeerFrame;
 import org.agatehatch.internal.connection.PeerFrameCodec;
 import org.apache.pekko.actor.ActorSystem;
 import org.testng.annotations.AfterClass;
@@ -104,6 +105,17 @@
         assertTrue(failure.getMessage().contains("the peer reported a failure"), "not reported as a failure");
     }
 
+    /** Guards against a frame that the sender's limit lets through and the receiver's does not, which closed the link. */
+    @Test
+    public void the_largest_frame_that_is_sent_is_received() {
+        int port = serve(new SizedAnswerHandler(largestBodyBytes()));
+        PeerLinks client = client(KEY);
+
+        assertEquals(ask(client, port, "large").length(), largestBodyBytes());
+        assertEquals(ask(client, port, "small"), "answer to small");
+        assertEquals(client.links().size(), 1);
+    }
+
     /** Guards against a handler that throws, which closed the link and left its other questions unanswered. */
     @Test
     public void a_question_whose_handler_throws_fails_alone() {
@@ -116,6 +128,13 @@
         assertEquals(client.links().size(), 1);
     }
 
+    private static int largestBodyBytes() {
+        PeerMessage empty = new PeerMessage("echo", new byte[0]);
+        int headBytes = PeerFrameCodec.encode(new PeerFrame(PeerFrame.Kind.ANSWER, 1, empty)).length;
+        // The length of a body this long takes three bytes more than that of an empty one.
+        return PeerFrameCodec.MAX_FRAME_BYTES - headBytes - 3;
+    }
+
     private static void sendMalformedFrameUntilClosed(int port) throws IOException {
         try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
             OutputStream output = socket.getOutputStream();
