Fail questions and drop notices that do not fit into a frame, without further effects

A question above the frame limit threw out of ask, and stayed among the pending questions for the life of the link. A notice above it threw out of send, which ended the rest of a control tick if the digest sent it.

PeerLinksTest.a_question_above_the_frame_limit_fails_at_once_and_the_link_stays failed before: expected [0] but found [1]; a_notice_above_the_frame_limit_is_dropped_and_the_link_stays: frame of 262159 bytes exceeds the limit of 262144.

--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/links/PeerLink.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/links/PeerLink.java
@@ -16,9 +16,13 @@
 import org.apache.pekko.stream.BoundedSourceQueue;
 import org.apache.pekko.stream.QueueOfferResult;
 import org.apache.pekko.util.ByteString;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** One authenticated connection to another node. */
 public final class PeerLink {
+    private static final Logger log = LoggerFactory.getLogger(PeerLink.class);
+
     /** Keeps a failure far below the frame limit. */
     private static final int MAX_REASON_CHARS = 1_024;
 
@@ -71,21 +75,45 @@
         return bytesReceived.get();
     }
 
-    /** Sends a one-way message. Closes the link if the output queue is full because the peer reads too slowly. */
+    /**
+     * Sends a one-way message. Drops it if it does not fit into a frame, and closes the link if the output queue is full
+     * because the peer reads too slowly.
+     */
     public void send(PeerMessage message) {
-        sendFrame(new PeerFrame(PeerFrame.Kind.NOTICE, 0, message));
+        try {
+            sendFrame(new PeerFrame(PeerFrame.Kind.NOTICE, 0, message));
+        } catch (AgatehatchException e) {
+            log.warn(
+                    "notice not sent: link={} peer={} type={} cause={}",
+                    id,
+                    peerName(),
+                    message.type(),
+                    e.getMessage());
+        }
     }
 
-    /** Sends a message and returns its answer. Fails on timeout, on a failure at the peer and when the link closes. */
+    /**
+     * Sends a message and returns its answer. Fails on timeout, on a failure at the peer, when the link closes, and if the
+     * message does not fit into a frame.
+     */
     public CompletionStage<PeerMessage> ask(PeerMessage message, long timeoutMillis) {
         long correlation = nextCorrelationId.getAndIncrement();
         CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
         questions.put(correlation, answer);
-        sendFrame(new PeerFrame(PeerFrame.Kind.QUESTION, correlation, message));
+        try {
+            sendFrame(new PeerFrame(PeerFrame.Kind.QUESTION, correlation, message));
+        } catch (AgatehatchException e) {
+            answer.completeExceptionally(e);
+        }
         return answer.orTimeout(timeoutMillis, TimeUnit.MILLISECONDS)
                 .whenComplete((reply, failure) -> questions.remove(correlation));
     }
 
+    /** Returns the number of questions that wait for their answer. */
+    int pendingQuestions() {
+        return questions.size();
+    }
+
     public void close() {
         output.complete();
     }
--- a/agatehatch-daemon/src/test/java/org/agatehatch/daemon/links/PeerLinksTest.java
+++ b/agatehatch-daemon/src/test/java/org/agatehatch/daemon/links/PeerLinksTest.java
@@ -128,6 +128,33 @@
         assertEquals(client.links().size(), 1);
     }
 
+    /** Guards against a question that is never sent and stays among the pending ones. */
+    @Test
+    public void a_question_above_the_frame_limit_fails_at_once_and_the_link_stays() {
+        int port = serve();
+        PeerLinks client = client(KEY);
+
+        CompletionException failure = expectThrows(
+                CompletionException.class, () -> ask(client, port, "x".repeat(PeerFrameCodec.MAX_FRAME_BYTES + 1)));
+
+        assertTrue(failure.getMessage().contains("exceeds the limit"), failure.getMessage());
+        assertEquals(ask(client, port, "small"), "answer to small");
+        assertEquals(client.links().get(0).pendingQuestions(), 0);
+    }
+
+    /** Guards against one notice above the frame limit that keeps the sender from its next ones. */
+    @Test
+    public void a_notice_above_the_frame_limit_is_dropped_and_the_link_stays() {
+        int port = serve();
+        PeerLinks client = client(KEY);
+        ask(client, port, "before");
+
+        client.links().get(0).send(new PeerMessage("test", new byte[PeerFrameCodec.MAX_FRAME_BYTES + 1]));
+
+        assertEquals(ask(client, port, "after"), "answer to after");
+        assertEquals(client.links().size(), 1);
+    }
+
     private static int largestBodyBytes() {
         PeerMessage empty = new PeerMessage("echo", new byte[0]);
         int headBytes = PeerFrameCodec.encode(new PeerFrame(PeerFrame.Kind.ANSWER, 1, empty)).length;
