Keep a node link open when a notice on it cannot be processed

A digest that a node can't decode closed its link. The neighbour opened another one, sent the same entries again, and so on; questions on the link failed each time.

PeerLinksTest.a_notice_that_the_peer_cannot_process_does_not_close_the_link failed before: the peer link was closed.

--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/links/PeerLink.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/links/PeerLink.java
@@ -150,13 +150,22 @@
 
     private void onFrame(PeerFrame frame) {
         switch (frame.kind()) {
-            case NOTICE -> handler.onNotice(this, frame.message());
+            case NOTICE -> receiveNotice(frame.message());
             case QUESTION -> answer(frame);
             case ANSWER -> complete(frame);
             case FAILURE -> fail(frame);
         }
     }
 
+    /** A notice that can't be processed is dropped; the peer would send it again over a new link. */
+    private void receiveNotice(PeerMessage notice) {
+        try {
+            handler.onNotice(this, notice);
+        } catch (RuntimeException e) {
+            log.warn("notice not processed: link={} peer={} type={}", id, peerName(), notice.type(), e);
+        }
+    }
+
     private void answer(PeerFrame question) {
         handle(question.message()).whenComplete((reply, failure) -> {
             if (failure != null) {
--- a/agatehatch-daemon/src/test/java/org/agatehatch/daemon/links/PeerLinksTest.java
+++ b/agatehatch-daemon/src/test/java/org/agatehatch/daemon/links/PeerLinksTest.java
@@ -155,6 +155,25 @@
         assertEquals(client.links().size(), 1);
     }
 
+    /** Guards against a notice that closes the link at each attempt, with everything else that is sent over it. */
+    @Test
+    public void a_notice_that_the_peer_cannot_process_does_not_close_the_link() {
+        int port = serve(new EchoHandler() {
+            @Override
+            public void onNotice(PeerLink link, PeerMessage message) {
+                throw new IllegalStateException("the notice is malformed");
+            }
+        });
+        PeerLinks client = client(KEY);
+        ask(client, port, "before");
+        String linkId = client.links().get(0).id();
+
+        client.links().get(0).send(new PeerMessage("test", new byte[] {1}));
+
+        assertEquals(ask(client, port, "after"), "answer to after");
+        assertEquals(client.links().get(0).id(), linkId);
+    }
+
     private static int largestBodyBytes() {
         PeerMessage empty = new PeerMessage("echo", new byte[0]);
         int headBytes = PeerFrameCodec.encode(new PeerFrame(PeerFrame.Kind.ANSWER, 1, empty)).length;
