Answer a question of another node also if its processing fails unexpectedly

Only failures of the project's own type were passed on. With any other exception on the control thread the question stayed without an answer, and the asking node waited for its time-out.

PeerNetworkTest.a_question_whose_processing_fails_unexpectedly_is_answered_with_a_failure failed before: expected [true] but found [false].

--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/wiring/PeerNetwork.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/wiring/PeerNetwork.java
@@ -192,7 +192,7 @@
                                 answer.completeExceptionally(failure);
                             }
                         });
-            } catch (AgatehatchException e) {
+            } catch (RuntimeException e) {
                 answer.completeExceptionally(e);
             }
         });
