Bound the encoding of a digest message instead of its payloads

With many small entries the headers exceed the payloads: 8,192 entries of 16 bytes took 221,187 bytes with a bound of 131,072, and shorter ones exceed the frame limit. Since entries are marked as sent when they are taken, the neighbour would not get them on that link any more.

DigestTest.the_encoding_of_a_delta_keeps_to_its_bound_also_for_many_small_entries failed before: a delta of 8192 entries takes 221187 bytes.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/digest/Digest.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/digest/Digest.java
@@ -64,20 +64,20 @@
     }
 
     /**
-     * Returns entries that the neighbour does not have yet and marks them as sent. Their payloads take at most
+     * Returns entries that the neighbour does not have yet and marks them as sent. Their encoding takes at most
      * {@code maxBytes}, unless a single entry is larger.
      */
     public List<DigestEntry> takeDelta(String neighbour, int maxBytes) {
         Map<DigestEntry.Identity, Long> knownVersions =
                 knownByNeighbour.computeIfAbsent(neighbour, name -> new HashMap<>());
         List<DigestEntry> delta = new ArrayList<>();
-        int bytes = 0;
+        int bytes = DigestCodec.MAX_HEADER_BYTES;
         for (ReceivedEntry received : entriesByIdentity.values()) {
             DigestEntry entry = received.entry();
             if (knownVersions.getOrDefault(entry.identity(), Long.MIN_VALUE) >= entry.version()) {
                 continue;
             }
-            bytes += entry.payload().length;
+            bytes += DigestCodec.MAX_HEADER_BYTES + entry.payload().length;
             if (bytes > maxBytes && !delta.isEmpty()) {
                 break;
             }
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/digest/DigestCodec.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/digest/DigestCodec.java
@@ -13,6 +13,9 @@
 
 /** Encodes and decodes lists of digest entries. Entries of unknown kinds are skipped. */
 public final class DigestCodec {
+    /** Upper bound of the bytes around a payload: kind, key, version and length. The header of a list is shorter. */
+    static final int MAX_HEADER_BYTES = 24;
+
     private static final int ELEMENTS_PER_ENTRY = 4;
     private static final int MAX_ENTRIES = 20_000;
     private static final int MAX_PAYLOAD_BYTES = 64 * 1024;
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/digest/DigestTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/digest/DigestTest.java
@@ -98,6 +98,25 @@
         }
     }
 
+    /** Guards against a delta whose encoding exceeds the frame of a link, so that its entries never arrive. */
+    @Test
+    public void the_encoding_of_a_delta_keeps_to_its_bound_also_for_many_small_entries() {
+        int maxBytes = 128 * 1024;
+        Digest digest = digest();
+        for (int key = 0; key < 20_000; key++) {
+            digest.publish(DigestKind.RUNNER_LOAD, Long.MIN_VALUE + key, new byte[16]);
+        }
+        int sent = 0;
+        for (List<DigestEntry> delta = digest.takeDelta("n", maxBytes);
+                !delta.isEmpty();
+                delta = digest.takeDelta("n", maxBytes)) {
+            int bytes = DigestCodec.encode(delta).length;
+            assertTrue(bytes <= maxBytes, "a delta of " + delta.size() + " entries takes " + bytes + " bytes");
+            sent += delta.size();
+        }
+        assertEquals(sent, 20_000);
+    }
+
     /**
      * Number of nodes, and one more than its binary logarithm as the maximum number of hops: each hop adds to the age
      * of a load, so their number must grow no faster.
