Do not publish digest entries that other nodes refuse

Decoding refuses a message that has an entry above 64 KiB, for instance the usage of some thousand owners, while a sender accepted entries of any size. One such entry kept all others of its messages from the neighbours. It is now counted as refused and logged.

DigestTest.an_entry_that_no_node_accepts_is_not_published failed before: expected [1] but found [0].

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/digest/Digest.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/digest/Digest.java
@@ -9,12 +9,16 @@
 import java.util.function.Consumer;
 import org.agatehatch.api.time.MonotonicClock;
 import org.agatehatch.api.time.WallClock;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * A node's copy of the gossiped soft state: the newest entry of each identity, and the versions that each neighbour
  * already has. Owned by the control thread.
  */
 public final class Digest {
+    private static final Logger log = LoggerFactory.getLogger(Digest.class);
+
     /** Entries whose version is further ahead of this node's wall clock are refused. */
     private static final long MAX_CLOCK_AHEAD_MILLIS = 300_000;
 
@@ -34,9 +38,18 @@
 
     /**
      * Publishes an entry of this node. Its version is the current time, or one more than the last known version if
-     * that is higher.
+     * that is higher. An entry that other nodes would refuse, together with the message that carries it, is not published.
      */
     public void publish(DigestKind kind, long key, byte[] payload) {
+        if (payload.length > DigestCodec.MAX_PAYLOAD_BYTES) {
+            refusedEntries++;
+            log.warn(
+                    "digest entry of kind {} not published: {} bytes exceed the limit of {}",
+                    kind,
+                    payload.length,
+                    DigestCodec.MAX_PAYLOAD_BYTES);
+            return;
+        }
         DigestEntry.Identity identity = new DigestEntry.Identity(kind, key);
         ReceivedEntry previous = entriesByIdentity.get(identity);
         long version = wallClock.epochMillis();
@@ -129,7 +142,7 @@
         return entriesByIdentity.size();
     }
 
-    /** Returns how many entries were refused because their version was too far in the future or past. */
+    /** Returns how many entries were refused because they were too large, or their version too far in the future or past. */
     public long refusedEntries() {
         return refusedEntries;
     }
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/digest/DigestCodec.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/digest/DigestCodec.java
@@ -18,7 +18,8 @@
 
     private static final int ELEMENTS_PER_ENTRY = 4;
     private static final int MAX_ENTRIES = 20_000;
-    private static final int MAX_PAYLOAD_BYTES = 64 * 1024;
+    /** Largest payload of an entry that {@link #decode} accepts. */
+    static final int MAX_PAYLOAD_BYTES = 64 * 1024;
 
     private DigestCodec() {}
 
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/digest/DigestTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/digest/DigestTest.java
@@ -117,6 +117,19 @@
         assertEquals(sent, 20_000);
     }
 
+    /** Guards against an entry that receivers refuse together with all others of its message. */
+    @Test
+    public void an_entry_that_no_node_accepts_is_not_published() {
+        Digest digest = digest();
+        digest.publish(DigestKind.OWNER_USAGE, 1, new byte[64 * 1024 + 1]);
+        digest.publish(DigestKind.OWNER_USAGE, 2, new byte[64 * 1024]);
+
+        List<DigestEntry> delta = digest.takeDelta("n", 128 * 1024);
+
+        assertEquals(DigestCodec.decode(DigestCodec.encode(delta), "n").size(), 1);
+        assertEquals(digest.refusedEntries(), 1);
+    }
+
     /**
      * Number of nodes, and one more than its binary logarithm as the maximum number of hops: each hop adds to the age
      * of a load, so their number must grow no faster.
