Read the log in pages that shrink after a failed read

A node that was far behind requested 256 records at once, up to the 4 MiB of an answer, within 3 s. If the connection did not carry them in that time, it repeated the same read for ever and never became ready, or stayed at its old configuration.

Pages now begin with 16 records, grow while full ones arrive to about 256 KiB, and halve after each failure, so that what arrives counts.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/LogTailer.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/LogTailer.java
@@ -23,12 +23,16 @@
 public final class LogTailer {
     private static final Logger log = LoggerFactory.getLogger(LogTailer.class);
 
+    /** Records of the first page, before their size is known. */
+    private static final int FIRST_RECORDS = 16;
+
     private final String stream;
     private final AppendLog appendLog;
     private final ControlThread control;
     private final RandomGenerator random;
     private final Settings settings;
     private final LogConsumer consumer;
+    private final LogPageSize pageSize;
 
     private boolean running;
     /** Number of the read or recovery in flight; responses to earlier ones are ignored. */
@@ -50,6 +54,7 @@
         this.random = random;
         this.settings = settings;
         this.consumer = consumer;
+        this.pageSize = new LogPageSize(FIRST_RECORDS, settings.maxRecords());
     }
 
     /** Starts reading at the consumer's next offset. */
@@ -82,10 +87,10 @@
         // The first read reports where the log ends, so it must not wait for a record.
         long waitMillis = readSucceeded ? settings.waitMillis() : 0;
         await(
-                () -> appendLog.read(
-                        stream, consumer.nextOffset(), settings.maxRecords(), Duration.ofMillis(waitMillis)),
+                () -> appendLog.read(stream, consumer.nextOffset(), pageSize.records(), Duration.ofMillis(waitMillis)),
                 waitMillis + settings.answerTimeoutMillis(),
-                this::handleBatch);
+                this::handleBatch,
+                this::onReadFailed);
     }
 
     private void handleBatch(LogBatch batch) {
@@ -109,7 +114,8 @@
             await(
                     () -> consumer.recoverFromGap(batch.oldestOffset()),
                     settings.recoveryTimeoutMillis(),
-                    ignored -> endRecovery(batch.oldestOffset()));
+                    ignored -> endRecovery(batch.oldestOffset()),
+                    this::fail);
             return;
         }
         for (LogRecord record : batch.records()) {
@@ -117,6 +123,7 @@
                 consumer.apply(record);
             }
         }
+        pageSize.onRead(batch);
         consecutiveFailures = 0;
         readSucceeded = true;
         consumer.onBatchRead(batch);
@@ -137,6 +144,12 @@
                         + consumer.nextOffset() + "; waiting for a newer snapshot or a peer"));
     }
 
+    private void onReadFailed(Throwable cause) {
+        // The answer may have been too large for the time-out.
+        pageSize.onFailure();
+        fail(cause);
+    }
+
     private void fail(Throwable cause) {
         consecutiveFailures++;
         consumer.onReadFailed(cause);
@@ -156,12 +169,16 @@
         });
     }
 
-    private <T> void await(Supplier<CompletionStage<T>> call, long timeoutMillis, Consumer<T> onSuccess) {
+    private <T> void await(
+            Supplier<CompletionStage<T>> call,
+            long timeoutMillis,
+            Consumer<T> onSuccess,
+            Consumer<Throwable> onFailure) {
         long thisCall = ++callNumber;
         ControlThread.ScheduledTask timeout = control.schedule(timeoutMillis, () -> {
             if (thisCall == callNumber) {
                 callNumber++;
-                fail(new AgatehatchException(
+                onFailure.accept(new AgatehatchException(
                         ErrorCode.LOG_UNAVAILABLE,
                         "tail",
                         stream,
@@ -179,7 +196,7 @@
                     if (error == null) {
                         onSuccess.accept(result);
                     } else {
-                        fail(error);
+                        onFailure.accept(error);
                     }
                 }));
     }
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/LogTailerTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/LogTailerTest.java
@@ -146,6 +146,30 @@
         assertEquals(snapshots.newest().toCompletableFuture().join().orElseThrow(), complete);
     }
 
+    /** Guards against a node that is far behind and repeats the same read, whose answer never arrives in time. */
+    @Test
+    public void a_node_that_is_far_behind_catches_up_over_a_slow_connection() {
+        AppendLog store = VirtualLog.store(1_000);
+        appendTo(store, importOf(sampleCatalogue()));
+        for (int version = 1; version <= 300; version++) {
+            appendTo(store, ownerChange("c" + version, version, "owner-" + version));
+        }
+        TestNode node = new TestNode("n1", time, store, 1);
+        node.log.setReadRate(recordBytes(store, 40) / 3);
+        node.start();
+
+        time.advance(120_000);
+
+        assertEquals(node.state.view().catalogue().version(), 301);
+        assertTrue(node.gate.isOpen(), node.gate.reason());
+    }
+
+    private static long recordBytes(AppendLog store, int records) {
+        return store.read(LogStreams.CONTROL, 0, records, Duration.ZERO).toCompletableFuture().join().records().stream()
+                .mapToLong(record -> record.payload().length)
+                .sum();
+    }
+
     static void appendTo(AppendLog store, StateRecord record) {
         store.append(LogStreams.CONTROL, RecordBatchCodec.encode(List.of(record)));
     }
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/VirtualLog.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/VirtualLog.java
@@ -13,6 +13,7 @@
 /** A node's connection to a log, under virtual time and with injected faults. */
 final class VirtualLog implements AppendLog {
     private static final long LATENCY_MILLIS = 5;
+    private static final long READ_TIMEOUT_MILLIS = 3_000;
 
     private final VirtualTime time;
     private final AppendLog store;
@@ -20,6 +21,7 @@
     private int responsesToLose;
     private long appendDelayMillis;
     private long readDelayMillis;
+    private long readBytesPerSecond = Long.MAX_VALUE;
     private int appends;
 
     VirtualLog(VirtualTime time, AppendLog store) {
@@ -51,6 +53,11 @@
         readDelayMillis = millis;
     }
 
+    /** Answers to reads arrive at this rate, and fail if one takes longer than the time-out of the log's client. */
+    void setReadRate(long bytesPerSecond) {
+        readBytesPerSecond = bytesPerSecond;
+    }
+
     int appends() {
         return appends;
     }
@@ -96,7 +103,15 @@
             time.runAfter(50, () -> poll(stream, fromOffset, maxRecords, waitMillis - 50, reply));
             return;
         }
-        time.runAfter(readDelayMillis, () -> reply.complete(batch));
+        long bytes = batch.records().stream()
+                .mapToLong(record -> record.payload().length)
+                .sum();
+        long transferMillis = readBytesPerSecond == Long.MAX_VALUE ? 0 : bytes * 1_000 / readBytesPerSecond;
+        if (transferMillis > READ_TIMEOUT_MILLIS) {
+            time.runAfter(READ_TIMEOUT_MILLIS, () -> reply.completeExceptionally(unavailable()));
+            return;
+        }
+        time.runAfter(readDelayMillis + transferMillis, () -> reply.complete(batch));
     }
 
     private static AgatehatchException unavailable() {
