Read claims in pages that shrink after a failed read

A writer that takes a partition over reads up to 256 records at once, each up to 128 KiB with stored answers, within 3 s. Over a slow connection it repeated the same read and refused all claims of the partition.

ClaimWriterTest.a_new_writer_reads_a_long_stream_over_a_slow_connection failed before: expected [Granted] but found [Unavailable].

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/ClaimWriter.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/ClaimWriter.java
@@ -32,6 +32,7 @@
  * <p>All methods must be called on the executor's thread. Work is done only in {@link #tick()} and when the log answers.
  */
 public final class ClaimWriter {
+    private static final int FIRST_READ_RECORDS = 16;
     private static final int MAX_READ_RECORDS = 256;
     private static final int CHECKPOINTS_PER_RETENTION = 8;
     private static final long MIN_RETRY_AFTER_MILLIS = 1_000;
@@ -81,6 +82,7 @@
     private final Map<String, Pending<Boolean>> pendingResolutions = new LinkedHashMap<>();
     private final Deque<List<ClaimRecord>> checkpointParts = new ArrayDeque<>();
     private final Deque<ReadPosition> readPositions = new ArrayDeque<>();
+    private final LogPageSize pageSize = new LogPageSize(FIRST_READ_RECORDS, MAX_READ_RECORDS);
     private long nextOffset;
     private long contiguousFromOffset;
     private long gapDetectedAtMillis;
@@ -315,15 +317,18 @@
         }
         reading = true;
         lastReadStartMillis = nowMillis;
-        call(() -> log.read(stream, nextOffset, MAX_READ_RECORDS, Duration.ZERO))
+        call(() -> log.read(stream, nextOffset, pageSize.records(), Duration.ZERO))
                 .whenCompleteAsync(this::onRead, executor);
     }
 
     private void onRead(LogBatch batch, Throwable failure) {
         reading = false;
         if (failure != null) {
+            // The answer may have been too large for the time-out.
+            pageSize.onFailure();
             return;
         }
+        pageSize.onRead(batch);
         long nowMillis = clock.millis();
         firstReadDone = true;
         lastReadSuccessMillis = nowMillis;
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/ClaimWriterTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/ClaimWriterTest.java
@@ -76,6 +76,25 @@
         assertEquals(log.appends(), 1);
     }
 
+    /** Guards against a new writer that repeats the same read of a long stream, whose answer never arrives in time. */
+    @Test
+    public void a_new_writer_reads_a_long_stream_over_a_slow_connection() {
+        byte[] record = ClaimRecordCodec.encode(List.of(new ClaimRecord.Abandoned("other", "k2")));
+        for (int i = 0; i < 300; i++) {
+            log.append(STREAM, record);
+        }
+        time.advance(1_000);
+        log.setReadRate(record.length * 20);
+        ClaimWriter newWriter = newWriter(100);
+        tickFor(newWriter, 60_000);
+
+        CompletableFuture<ClaimAnswer> answer =
+                newWriter.claim(request("a", "k")).toCompletableFuture();
+        tickFor(newWriter, 5_000);
+
+        assertEquals(answerKind(answer), "Granted");
+    }
+
     @Test
     public void of_two_writers_only_the_one_with_the_first_record_grants() {
         ClaimWriter secondWriter = newWriter(100);
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/FaultyLog.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/FaultyLog.java
@@ -28,6 +28,7 @@
 
     private static final long LATENCY_MILLIS = 10;
     private static final long RESPONSE_TIMEOUT_MILLIS = 2_000;
+    private static final long READ_TIMEOUT_MILLIS = 3_000;
 
     private final VirtualTime time;
     private final Map<String, List<LogRecord>> streams = new HashMap<>();
@@ -35,6 +36,7 @@
     private final Deque<AppendFault> plannedFaults = new ArrayDeque<>();
     private long downUntilMillis;
     private long lateMillis = 30_000;
+    private long readBytesPerSecond = Long.MAX_VALUE;
     private int appends;
 
     FaultyLog(VirtualTime time) {
@@ -53,6 +55,11 @@
         lateMillis = millis;
     }
 
+    /** Answers to reads arrive at this rate, and fail if one takes longer than the time-out of the log's client. */
+    void setReadRate(long bytesPerSecond) {
+        readBytesPerSecond = bytesPerSecond;
+    }
+
     int appends() {
         return appends;
     }
@@ -113,7 +120,15 @@
             int from = (int) Math.min(all.size(), Math.max(fromOffset, first));
             int to = Math.min(all.size(), from + maxRecords);
             LogBatch batch = new LogBatch(new ArrayList<>(all.subList(from, to)), first, all.size());
-            time.runAfter(LATENCY_MILLIS, () -> response.complete(batch));
+            long bytes = batch.records().stream()
+                    .mapToLong(record -> record.payload().length)
+                    .sum();
+            long transferMillis = readBytesPerSecond == Long.MAX_VALUE ? 0 : bytes * 1_000 / readBytesPerSecond;
+            if (transferMillis > READ_TIMEOUT_MILLIS) {
+                fail(response);
+                return;
+            }
+            time.runAfter(LATENCY_MILLIS + transferMillis, () -> response.complete(batch));
         });
         return response;
     }
