Read accounts in pages that shrink after a failed read

Both readers of the accounts requested a fixed number of records, 256 and 1,000, and failed with the same read each time if the answer took too long. The second one also writes the checkpoints, without which the log drops the counters of ended processes.

The second one now uses a scan that retries a page with half of its records. It fails if a single record can't be read, and begins with one, so that an outage of the log still shows after one time-out.

AccountLedgerTest.a_long_stream_is_read_over_a_slow_connection failed before: the total of the team is missing (NullPointerException on AccountCounters.requests()).

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/AccountLogTailer.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/AccountLogTailer.java
@@ -25,6 +25,7 @@
  * <p>All methods must be called on the executor's thread.
  */
 public final class AccountLogTailer {
+    private static final int FIRST_READ_RECORDS = 16;
     private static final int READ_BATCH_RECORDS = 256;
     private static final int CHECKPOINTS_PER_RETENTION = 4;
 
@@ -38,6 +39,7 @@
     private final long logRetentionMillis;
     private final long pollIntervalMillis;
     private final AccountLedger ledger = new AccountLedger();
+    private final LogPageSize pageSize = new LogPageSize(FIRST_READ_RECORDS, READ_BATCH_RECORDS);
     private final Deque<List<AccountRecord>> checkpointParts = new ArrayDeque<>();
     private long nextOffset;
     private long droppedRecords;
@@ -106,15 +108,18 @@
     private void read(long nowMillis) {
         reading = true;
         lastReadStartMillis = nowMillis;
-        call(() -> log.read(LogStreams.ACCOUNTS, nextOffset, READ_BATCH_RECORDS, Duration.ZERO))
+        call(() -> log.read(LogStreams.ACCOUNTS, nextOffset, pageSize.records(), Duration.ZERO))
                 .whenCompleteAsync(this::onRead, executor);
     }
 
     private void onRead(LogBatch batch, Throwable failure) {
         reading = false;
         if (failure != null) {
+            // The answer may have been too large for the time-out.
+            pageSize.onFailure();
             return;
         }
+        pageSize.onRead(batch);
         droppedRecords += Math.max(0, batch.oldestOffset() - nextOffset);
         nextOffset = Math.max(nextOffset, batch.oldestOffset());
         for (LogRecord record : batch.records()) {
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/AccountLedgerTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/AccountLedgerTest.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.LongStream;
 import org.agatehatch.api.log.LogStreams;
 import org.agatehatch.internal.process.FaultyLog.AppendFault;
 import org.testng.annotations.Test;
@@ -66,6 +68,51 @@
                 List.of(new AccountLedger.Gap("n1", "died", 5)));
     }
 
+    /** Guards against accounts that stay incomplete because the same read is repeated, whose answer never arrives in time. */
+    @Test
+    public void a_long_stream_is_read_over_a_slow_connection() {
+        VirtualTime time = new VirtualTime();
+        FaultyLog log = new FaultyLog(time);
+        int recordBytes = 0;
+        for (int sequence = 1; sequence <= 300; sequence++) {
+            byte[] encoded = AccountRecordCodec.encode(List.of(record("i1", sequence, false, sequence)));
+            recordBytes = Math.max(recordBytes, encoded.length);
+            log.append(LogStreams.ACCOUNTS, encoded);
+        }
+        time.advance(1_000);
+        log.setReadRate(recordBytes * 20);
+
+        AccountLogTailer tailer = startTailer(log, time, false);
+        tickSeconds(tailer, time, 60);
+
+        assertEquals(tailer.ledger().totals().get("almaty").requests(), 300);
+    }
+
+    /** Guards against a scan that gives up, or ends early, although smaller pages get through. */
+    @Test
+    public void a_scan_over_a_slow_connection_reaches_the_end_and_fails_while_the_log_is_down() {
+        VirtualTime time = new VirtualTime();
+        FaultyLog log = new FaultyLog(time);
+        for (int i = 0; i < 300; i++) {
+            log.append(LogStreams.ACCOUNTS, new byte[1_000]);
+        }
+        time.advance(1_000);
+        log.setReadRate(20_000);
+        List<Long> offsets = new ArrayList<>();
+        CompletableFuture<Void> scan = LogScan.toEnd(
+                        log, LogStreams.ACCOUNTS, 0, record -> offsets.add(record.offset()))
+                .toCompletableFuture();
+        time.advance(60_000);
+        assertTrue(scan.isDone() && !scan.isCompletedExceptionally());
+        assertEquals(offsets, LongStream.range(0, 300).boxed().toList());
+
+        log.startOutage(60_000);
+        CompletableFuture<Void> failed =
+                LogScan.toEnd(log, LogStreams.ACCOUNTS, 0, record -> {}).toCompletableFuture();
+        time.advance(2_500);
+        assertTrue(failed.isCompletedExceptionally());
+    }
+
     @Test
     public void the_lease_holder_appends_account_records_again_before_the_log_drops_them() {
         VirtualTime time = new VirtualTime();
--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/wiring/AccountingCoordinator.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/wiring/AccountingCoordinator.java
@@ -3,24 +3,21 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.time.Duration;
 import java.util.List;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.stream.Collectors;
-import org.agatehatch.api.log.LogRecord;
 import org.agatehatch.api.log.LogStreams;
 import org.agatehatch.internal.process.AccountLedger;
 import org.agatehatch.internal.process.AccountRecord;
 import org.agatehatch.internal.process.AccountRecordCodec;
 import org.agatehatch.internal.process.AccountReporter;
+import org.agatehatch.internal.process.LogScan;
 
 /** Reports this node's account counters to the log and sums the counters of all nodes for operators. */
 final class AccountingCoordinator {
     private static final ObjectMapper JSON = new ObjectMapper();
-    private static final int MAX_RECORDS_PER_READ = 1_000;
     private static final int MAX_RECORDS_PER_CHECKPOINT_APPEND = 100;
     private static final long CHECKPOINT_INTERVAL_MILLIS = 600_000;
 
@@ -100,20 +97,12 @@
 
     /** Reads the whole stream, which is cheap enough: operators ask rarely, and checkpoints bound its length. */
     private CompletionStage<AccountLedger> ledger() {
-        return read(new AccountLedger(), 0);
-    }
-
-    private CompletionStage<AccountLedger> read(AccountLedger ledger, long fromOffset) {
-        return context.log()
-                .read(LogStreams.ACCOUNTS, fromOffset, MAX_RECORDS_PER_READ, Duration.ZERO)
-                .thenCompose(batch -> {
-                    long next = fromOffset;
-                    for (LogRecord record : batch.records()) {
-                        AccountRecordCodec.decode(record.payload()).forEach(ledger::merge);
-                        next = record.offset() + 1;
-                    }
-                    boolean end = batch.records().isEmpty() || next >= batch.endOffset();
-                    return end ? CompletableFuture.completedFuture(ledger) : read(ledger, next);
-                });
+        AccountLedger ledger = new AccountLedger();
+        return LogScan.toEnd(
+                        context.log(),
+                        LogStreams.ACCOUNTS,
+                        0,
+                        record -> AccountRecordCodec.decode(record.payload()).forEach(ledger::merge))
+                .thenApply(done -> ledger);
     }
 }
