--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/SnapshotStore.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/SnapshotStore.java
@@ -17,7 +17,6 @@
 import java.util.zip.Inflater;
 import net.openhft.hashing.LongHashFunction;
 import org.agatehatch.api.log.AppendLog;
-import org.agatehatch.api.log.LogBatch;
 import org.agatehatch.api.log.LogRecord;
 import org.agatehatch.api.log.LogStreams;
 import org.agatehatch.internal.version.record.Fields;
@@ -35,8 +34,8 @@
     /** Limits the decompressed size of malformed records. The state at design size took 1.5 MB. */
     private static final int MAX_SNAPSHOT_BYTES = 64 * 1024 * 1024;
 
-    /** Maximum number of records per read, together at most 3.2 MB. A snapshot at design size took four records. */
-    private static final int READ_RECORDS = 16;
+    /** Records of a window, together at most 3.2 MB. A snapshot at design size took four records. */
+    private static final int WINDOW_RECORDS = 16;
     /** Maximum number of windows that a search reads; the newest snapshot is normally in the first one. */
     private static final int MAX_WINDOWS = 32;
 
@@ -77,34 +76,16 @@
     // Reads windows of records from the newest one backwards until one of them completes a snapshot.
     private CompletionStage<Optional<byte[]>> search(
             Map<String, List<Part>> partsById, long oldestOffset, long windowEnd, int windowsLeft) {
-        long from = Math.max(oldestOffset, windowEnd - READ_RECORDS);
-        return readWindow(partsById, from, windowEnd).thenCompose(ignored -> {
-            Optional<byte[]> snapshot = newestComplete(partsById);
-            return snapshot.isPresent() || from <= oldestOffset || windowsLeft <= 1
-                    ? CompletableFuture.completedFuture(snapshot)
-                    : search(partsById, oldestOffset, from, windowsLeft - 1);
-        });
-    }
-
-    private CompletionStage<Void> readWindow(Map<String, List<Part>> partsById, long from, long windowEnd) {
-        if (from >= windowEnd) {
-            return CompletableFuture.completedFuture(null);
-        }
-        int remaining = (int) (windowEnd - from);
-        return appendLog
-                .read(LogStreams.SNAPSHOTS, from, remaining, Duration.ZERO)
-                .thenCompose(batch -> {
-                    batch.records().forEach(record -> addPart(partsById, record));
-                    return batch.records().isEmpty()
-                            ? CompletableFuture.completedFuture(null)
-                            : readWindow(partsById, lastOffset(batch) + 1, windowEnd);
+        long from = Math.max(oldestOffset, windowEnd - WINDOW_RECORDS);
+        return LogScan.range(appendLog, LogStreams.SNAPSHOTS, from, windowEnd, record -> addPart(partsById, record))
+                .thenCompose(ignored -> {
+                    Optional<byte[]> snapshot = newestComplete(partsById);
+                    return snapshot.isPresent() || from <= oldestOffset || windowsLeft <= 1
+                            ? CompletableFuture.completedFuture(snapshot)
+                            : search(partsById, oldestOffset, from, windowsLeft - 1);
                 });
     }
 
-    private static long lastOffset(LogBatch batch) {
-        return batch.records().get(batch.records().size() - 1).offset();
-    }
-
     private static void addPart(Map<String, List<Part>> partsById, LogRecord record) {
         try {
             Fields fields = new Fields(MessagePackValues.decode(record.payload()));
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/LogTailerTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/LogTailerTest.java
@@ -9,7 +9,9 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 import org.agatehatch.api.log.AppendLog;
 import org.agatehatch.api.log.LogStreams;
 import org.agatehatch.internal.version.SnapshotCodec;
@@ -164,6 +166,24 @@
         assertTrue(node.gate.isOpen(), node.gate.reason());
     }
 
+    /** Guards against a snapshot that is larger than what the connection carries within the time-out of one read. */
+    @Test
+    public void a_snapshot_in_many_parts_is_read_over_a_slow_connection() {
+        AppendLog store = VirtualLog.store(1_000);
+        byte[] complete = new byte[3_000_000];
+        new Random(3).nextBytes(complete);
+        new SnapshotStore(store).write("s1", 10, complete).toCompletableFuture().join();
+        VirtualLog slow = new VirtualLog(time, store);
+        slow.setReadRate(150_000);
+
+        CompletableFuture<Optional<byte[]>> read =
+                new SnapshotStore(slow).newest().toCompletableFuture();
+        time.advance(60_000);
+
+        assertTrue(read.isDone(), "the snapshot was not read within a minute");
+        assertEquals(read.join().orElseThrow(), complete);
+    }
+
     private static long recordBytes(AppendLog store, int records) {
         return store.read(LogStreams.CONTROL, 0, records, Duration.ZERO).toCompletableFuture().join().records().stream()
                 .mapToLong(record -> record.payload().length)
