--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/ControlState.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/ControlState.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -31,6 +32,7 @@
     private final List<ReplicatedStateListener> listeners = new ArrayList<>();
     private ReplicatedState state = new ReplicatedState();
     private long malformedBatches;
+    private CompletableFuture<Void> snapshotLoad = CompletableFuture.completedFuture(null);
     private volatile RoutingView view = RoutingView.EMPTY;
 
     /**
@@ -110,9 +112,20 @@
         return loadSnapshot();
     }
 
-    /** Loads the newest snapshot and installs it if it covers a later offset than this state. */
+    /**
+     * Loads the newest snapshot and installs it if it covers a later offset than this state. A load that has not ended is not
+     * started again, since the two would slow each other. Must be called on the control thread.
+     */
     public CompletionStage<Void> loadSnapshot() {
-        return newestSnapshot.get().thenAcceptAsync(snapshot -> snapshot.ifPresent(this::install), control::execute);
+        CompletableFuture<Void> inFlight = snapshotLoad;
+        if (!inFlight.isDone()) {
+            return inFlight;
+        }
+        snapshotLoad = newestSnapshot
+                .get()
+                .thenAcceptAsync(snapshot -> snapshot.ifPresent(this::install), control::execute)
+                .toCompletableFuture();
+        return snapshotLoad;
     }
 
     /**
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/LogTailerTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/LogTailerTest.java
@@ -8,6 +8,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
@@ -184,6 +185,32 @@
         assertEquals(read.join().orElseThrow(), complete);
     }
 
+    /** Guards against loads of a snapshot that pile up, each slowed by the others, when one takes longer than its time-out. */
+    @Test
+    public void a_snapshot_that_loads_slowly_is_not_loaded_several_times_at_once() {
+        AppendLog store = VirtualLog.store(2);
+        appendTo(store, importOf(sampleCatalogue()));
+        for (int i = 1; i <= 5; i++) {
+            appendTo(store, ownerChange("c" + i, i, "owner-" + i));
+        }
+        TestNode node = new TestNode("n1", time, store, 1);
+        List<CompletableFuture<Optional<byte[]>>> loads = new ArrayList<>();
+        ControlState state = new ControlState(node.thread, node.gate, () -> {
+            loads.add(new CompletableFuture<>());
+            return loads.get(loads.size() - 1);
+        });
+        LogTailer tailer = new LogTailer(
+                LogStreams.CONTROL, node.log, node.thread, new Random(1), LogTailer.Settings.DEFAULT, state);
+        tailer.start();
+
+        time.advance(100_000);
+        assertEquals(loads.size(), 1);
+
+        loads.get(0).complete(Optional.empty());
+        time.advance(100_000);
+        assertEquals(loads.size(), 2, "a load that ended without a snapshot is followed by another one");
+    }
+
     private static long recordBytes(AppendLog store, int records) {
         return store.read(LogStreams.CONTROL, 0, records, Duration.ZERO).toCompletableFuture().join().records().stream()
                 .mapToLong(record -> record.payload().length)
