Let a read of the log go on while its answer keeps arriving

A read failed 3 s after its wait however much had arrived. A single record of 256 KiB, which no smaller page can split, could never be read over a connection with less than 117 KB/s.

The time-out now is that of the head of the response. The tailer's own limit only guards against a client of the log that does not end a read.

PlatformHttpEndlessTest.a_page_of_the_log_that_keeps_arriving_is_read_beyond_the_time_of_a_call failed before: no answer within 3000 ms. Answers that never end are given up as before (a_read_of_the_log_fails_and_closes_the_connection_when_the_response_never_ends).

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/LogTailer.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/LogTailer.java
@@ -215,7 +215,8 @@
      *
      * @param maxRecords maximum number of records per read
      * @param waitMillis long-poll timeout: maximum time for which the log holds a read without records
-     * @param answerTimeoutMillis time beyond {@code waitMillis} after which a read counts as failed
+     * @param answerTimeoutMillis time beyond {@code waitMillis} after which a read counts as failed even if the log's client has
+     *     not given it up, which it does much earlier if no more of the answer arrives
      * @param recoveryTimeoutMillis maximum time for loading a snapshot
      */
     public record Settings(
@@ -226,6 +227,6 @@
             long initialBackoffMillis,
             long maxBackoffMillis) {
         /** Production settings: a long poll of 5 s, and a backoff from 200 ms to 5 s. */
-        public static final Settings DEFAULT = new Settings(256, 5_000, 3_000, 30_000, 200, 5_000);
+        public static final Settings DEFAULT = new Settings(256, 5_000, 30_000, 30_000, 200, 5_000);
     }
 }
--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/platform/HttpAppendLog.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/platform/HttpAppendLog.java
@@ -17,6 +17,9 @@
     private static final Duration APPEND_TIMEOUT = Duration.ofSeconds(3);
     private static final Duration READ_TIMEOUT_MARGIN = Duration.ofSeconds(3);
 
+    /** An answer has at most 4 MiB of payload, which base64 enlarges by a third, and then the fields around it. */
+    private static final long MAX_PAGE_BYTES = 8 << 20;
+
     private final PlatformHttp http;
     private final URI base;
 
@@ -37,9 +40,10 @@
     public CompletionStage<LogBatch> read(String stream, long fromOffset, int maxRecords, Duration wait) {
         HttpRequest request = HttpRequest.GET(base + "/streams/" + stream + "/records?from=" + fromOffset + "&max="
                 + maxRecords + "&wait_ms=" + wait.toMillis());
-        return http.call(
+        return http.callWhileProgressing(
                         request,
                         wait.plus(READ_TIMEOUT_MARGIN),
+                        MAX_PAGE_BYTES,
                         new TypeReference<Page>() {},
                         ErrorCode.LOG_UNAVAILABLE,
                         "read log")
