Keep the members that a relay serves on the control thread

The generation and the members of the cache were written one after the other on the thread on which the store answers, while questions of other nodes are answered on the control thread. A question in between got the earlier members under the later generation, and its node did not read them again before the next change of the group.

All state of RelayedNodeGroup is now used on the control thread only, as its comment says.

RelayedNodeGroupTest.a_question_that_arrives_while_a_read_is_taken_over_gets_the_newer_members, which asks between the two writes, failed before: expected [2] but found [1].

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/RelayedNodeGroup.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/RelayedNodeGroup.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Executor;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.agatehatch.api.fleet.NodeGroup;
@@ -42,6 +43,7 @@
 
     private final NodeGroup store;
     private final Supplier<Optional<Relay>> relay;
+    private final Executor control;
     private Question known = new Question(-1, -1);
     private Question cachedAs = new Question(-1, -1);
     private List<Ownership> cached = List.of();
@@ -52,18 +54,23 @@
      * Creates a group of which nothing has been read.
      *
      * @param relay supplies the relay to ask; empty if this node reads the store
+     * @param control runs tasks on the control thread, on which the methods are called
      */
-    public RelayedNodeGroup(NodeGroup store, Supplier<Optional<Relay>> relay) {
+    public RelayedNodeGroup(NodeGroup store, Supplier<Optional<Relay>> relay, Executor control) {
         this.store = store;
         this.relay = relay;
+        this.control = control;
     }
 
     @Override
     public CompletionStage<Assignment> renew(String member, long generation) {
-        return store.renew(member, generation).thenApply(assignment -> {
-            known = new Question(assignment.era(), assignment.generation());
-            return assignment;
-        });
+        return store.renew(member, generation)
+                .thenApplyAsync(
+                        assignment -> {
+                            known = new Question(assignment.era(), assignment.generation());
+                            return assignment;
+                        },
+                        control);
     }
 
     @Override
@@ -74,19 +81,23 @@
             return readStore(wanted);
         }
         CompletableFuture<List<Ownership>> result = new CompletableFuture<>();
-        source.get().apply(wanted).whenComplete((owners, failure) -> {
-            if (failure == null) {
-                result.complete(owners);
-                return;
-            }
-            readStore(wanted).whenComplete((read, storeFailure) -> {
-                if (storeFailure == null) {
-                    result.complete(read);
-                } else {
-                    result.completeExceptionally(storeFailure);
-                }
-            });
-        });
+        source.get()
+                .apply(wanted)
+                .whenCompleteAsync(
+                        (owners, failure) -> {
+                            if (failure == null) {
+                                result.complete(owners);
+                                return;
+                            }
+                            readStore(wanted).whenComplete((read, storeFailure) -> {
+                                if (storeFailure == null) {
+                                    result.complete(read);
+                                } else {
+                                    result.completeExceptionally(storeFailure);
+                                }
+                            });
+                        },
+                        control);
         return result;
     }
 
@@ -118,20 +129,23 @@
         // The store knows each generation that it has told anybody, so that a read that begins now covers both.
         readInFlightAs = covers(known, wanted) ? known : wanted;
         Question readAs = readInFlightAs;
-        store.owners().whenComplete((owners, failure) -> {
-            if (readInFlight.filter(read::equals).isPresent()) {
-                readInFlight = Optional.empty();
-            }
-            if (failure != null) {
-                read.completeExceptionally(failure);
-                return;
-            }
-            if (readAs.era() > cachedAs.era() || covers(readAs, cachedAs)) {
-                cachedAs = readAs;
-                cached = List.copyOf(owners);
-            }
-            read.complete(owners);
-        });
+        store.owners()
+                .whenCompleteAsync(
+                        (owners, failure) -> {
+                            if (readInFlight.filter(read::equals).isPresent()) {
+                                readInFlight = Optional.empty();
+                            }
+                            if (failure != null) {
+                                read.completeExceptionally(failure);
+                                return;
+                            }
+                            if (readAs.era() > cachedAs.era() || covers(readAs, cachedAs)) {
+                                cached = List.copyOf(owners);
+                                cachedAs = readAs;
+                            }
+                            read.complete(owners);
+                        },
+                        control);
         return read;
     }
 
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/RelayedNodeGroupTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/RelayedNodeGroupTest.java
@@ -29,6 +29,7 @@
         private long era;
         private int reads;
         private boolean holding;
+        private Runnable onCopy = () -> {};
 
         @Override
         public CompletionStage<Assignment> renew(String member, long known) {
@@ -51,7 +52,15 @@
             for (int i = 0; i < generation; i++) {
                 owners.add(new Ownership("nodes/" + i, "member-" + i));
             }
-            return owners;
+            return new ArrayList<>(owners) {
+                @Override
+                public Object[] toArray() {
+                    Runnable interleaved = onCopy;
+                    onCopy = () -> {};
+                    interleaved.run();
+                    return super.toArray();
+                }
+            };
         }
 
         private void release() {
@@ -69,7 +78,7 @@
     @BeforeMethod
     public void create() {
         store = new FakeStore();
-        relay = new RelayedNodeGroup(store, Optional::empty);
+        relay = new RelayedNodeGroup(store, Optional::empty, Runnable::run);
         relayLost = false;
         relay.renew("relay", 0);
     }
@@ -78,7 +87,7 @@
         RelayedNodeGroup.Relay toRelay = question -> relayLost
                 ? CompletableFuture.failedFuture(new IllegalStateException("no answer"))
                 : relay.answer(question.encode()).thenApply(RelayedNodeGroup::decodeAnswer);
-        RelayedNodeGroup reader = new RelayedNodeGroup(store, () -> Optional.of(toRelay));
+        RelayedNodeGroup reader = new RelayedNodeGroup(store, () -> Optional.of(toRelay), Runnable::run);
         reader.renew("reader", 0);
         return reader;
     }
@@ -142,6 +151,25 @@
         assertEquals(members(behind.owners()), 3);
     }
 
+    /**
+     * Guards against an answer that names the members as of an earlier generation, given while another thread takes the read of
+     * the newer one over.
+     */
+    @Test
+    public void a_question_that_arrives_while_a_read_is_taken_over_gets_the_newer_members() {
+        assertEquals(members(reader().owners()), 1);
+        store.generation = 2;
+        RelayedNodeGroup asking = reader();
+        List<CompletionStage<List<NodeGroup.Ownership>>> views = new ArrayList<>();
+        store.onCopy = () -> views.add(asking.owners());
+
+        relay.renew("relay", 1);
+        relay.owners();
+
+        assertEquals(views.size(), 1);
+        assertEquals(members(views.get(0)), 2);
+    }
+
     @Test
     public void a_malformed_question_is_rejected() {
         PeerMessage odd = new PeerMessage(RelayedNodeGroup.QUESTION_TYPE, new byte[] {1, 2, 3});
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
@@ -185,7 +185,7 @@
         serverFollower = newFollower(
                 SERVER_TOPIC, serverTopic, TopicFollowerSettings.PERIODIC, peerBootstrap.recording(registry));
         storeViews = new StoreViews(configFollower, serverFollower, softwareVersions, () -> nodes, clock);
-        nodeGroup = new RelayedNodeGroup(platform.nodeGroup(), this::groupRelay);
+        nodeGroup = new RelayedNodeGroup(platform.nodeGroup(), this::groupRelay, control::execute);
         membership = newMembership();
         claim = newPlacementLease();
         handover = new PlacementHandover(
