Let the former placement holder name its successor to nodes that still report to it

Nodes learn of a new holder by one notice, which is lost if the connection fails. Any node answers reports, so a node that missed the notice took the former holder for the present one until the group next changed: its demand did not count, its requests for absent models were refused, and it had no keeper of quotas.

The reply to a report now names the holder that the answering node knows. A node that does not know that holder reads the lease, at most every 1.5 s. Replies without the field, of earlier versions, change nothing.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/PlacementLease.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/PlacementLease.java
@@ -164,6 +164,19 @@
         read();
     }
 
+    /**
+     * Reads the lease again if another node names a holder that this node does not know. The notice of a take-over may be lost, and
+     * a former holder answers reports as before.
+     */
+    public void onHolderNamed(String member) {
+        boolean known = lease.isPresent() && lease.get().member().equals(member);
+        boolean readLately = lastRequestNanos.isPresent()
+                && millisSince(lastRequestNanos.getAsLong()) < FOLLOWER_READ_INTERVAL_MILLIS;
+        if (!member.isEmpty() && !known && !readLately) {
+            read();
+        }
+    }
+
     /** Returns this node's present grant to send orders; empty if it has none. */
     public Optional<PlacementGrant> currentGrant() {
         if (!isHolder() || hasResigned() || clock.nanos() - actFromNanos < 0) {
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/ResidencyMessages.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/ResidencyMessages.java
@@ -108,12 +108,16 @@
     /**
      * The reply to a report: the other nodes' requests in flight, all nodes' strikes, the recent residency changes, and what the
      * other nodes have learned of servers since the last reply.
+     *
+     * @param holder member name of the placement holder that the replying node knows, which is another one if it is not the
+     *     holder any more; empty if it knows none
      */
     public record ReportReply(
             Map<String, LoadAggregator.Load> loads,
             List<PoisonRequestDetector.Strike> strikes,
             List<Change> changes,
-            List<LearnedCapacity> learned) {
+            List<LearnedCapacity> learned,
+            String holder) {
         public ReportReply {
             learned = List.copyOf(learned);
             loads = Map.copyOf(loads);
@@ -121,7 +125,16 @@
             changes = List.copyOf(changes);
         }
 
-        /** Creates a reply without learned values. */
+        /** Creates a reply without the holder. */
+        public ReportReply(
+                Map<String, LoadAggregator.Load> loads,
+                List<PoisonRequestDetector.Strike> strikes,
+                List<Change> changes,
+                List<LearnedCapacity> learned) {
+            this(loads, strikes, changes, learned, "");
+        }
+
+        /** Creates a reply without learned values and the holder. */
         public ReportReply(
                 Map<String, LoadAggregator.Load> loads,
                 List<PoisonRequestDetector.Strike> strikes,
@@ -211,7 +224,9 @@
                         "h",
                         changes,
                         "k",
-                        LearnedCapacityCodec.fields(reply.learned())));
+                        LearnedCapacityCodec.fields(reply.learned()),
+                        "o",
+                        reply.holder()));
     }
 
     /** Decodes the reply to a report. */
@@ -221,7 +236,11 @@
                 .map(entry -> new Change(entry.text("r"), entry.text("m"), entry.text("a"), entry.flag("p")))
                 .toList();
         return new ReportReply(
-                loads(fields.map("l")), strikes(fields), changes, LearnedCapacityCodec.decode(fields, "k"));
+                loads(fields.map("l")),
+                strikes(fields),
+                changes,
+                LearnedCapacityCodec.decode(fields, "k"),
+                fields.optionalText("o").orElse(""));
     }
 
     private static List<Object> averagesFields(List<DemandAverages> rates) {
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
@@ -208,6 +208,7 @@
                 this::nodeCount,
                 new HolderFailureDetector(
                         settings.self(), () -> nodes, () -> placementHolder, claim::takeOverFrom, control, clock),
+                claim::onHolderNamed,
                 poisonRequests,
                 clock);
         shutdown = new GracefulShutdown(settings.shutdownGraceMillis(), clock, this::leaveGroup);
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/ResidencyClient.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/ResidencyClient.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import org.agatehatch.api.fleet.PeerAddress;
@@ -57,6 +58,7 @@
     private final IntSupplier nodeCount;
     private final HolderFailureDetector holderWatch;
     private final PoisonRequestDetector crashLedger;
+    private final Consumer<String> namedHolders;
     private final PoisonRequestDetector collectedStrikes;
     private final Map<ResidencyMessages.Request, CompletionStage<Long>> inFlightRequests = new HashMap<>();
     private TcpPeerTransport peerTransport;
@@ -76,6 +78,7 @@
             LoadAggregator board,
             IntSupplier nodes,
             HolderFailureDetector watch,
+            Consumer<String> namedHolders,
             PoisonRequestDetector crashes,
             MonotonicClock clock) {
         this.loop = loop;
@@ -91,6 +94,7 @@
         this.loadBoard = board;
         this.nodeCount = nodes;
         this.holderWatch = watch;
+        this.namedHolders = namedHolders;
         this.crashLedger = crashes;
         this.collectedStrikes = new PoisonRequestDetector(clock, (strike, strikes, own) -> {});
     }
@@ -188,7 +192,8 @@
                 loadBoard.exchange(report.node(), report.loads()),
                 collectedStrikes.strikes(),
                 residencyController.recentChanges(),
-                capacityExchange.exchange(report.node(), report.learned()));
+                capacityExchange.exchange(report.node(), report.learned()),
+                holder.get().map(NodeIdentity::memberName).orElse(""));
     }
 
     private void onReportReply(ResidencyMessages.ReportReply others) {
@@ -253,6 +258,7 @@
                     if (failure == null) {
                         historyAckedBy = recipient.memberName();
                         onReportReply(others);
+                        control.execute(() -> namedHolders.accept(others.holder()));
                     } else {
                         log.debug("event=report_not_answered holder={} cause={}", recipient.name(), failure.toString());
                     }
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/Cluster.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/Cluster.java
@@ -43,6 +43,9 @@
     static final String MODEL = "m";
     static final long ROUTE_TIMEOUT_MILLIS = 6_000;
 
+    /** Token of a holder that is named by a test, above those of the nodes' own takeovers. */
+    static final long NAMED_TOKEN = 1_000;
+
     private static final long MEMBERSHIP_TTL_MILLIS = 2_500;
     private static final long READY_TIMEOUT_SECONDS = 20;
     private static final String SERVICE = "svc";
@@ -61,6 +64,7 @@
     private final int readinessPort = freePort();
     private final HttpClient http = HttpClient.newHttpClient();
     private final Map<Integer, EdgeNode> nodes = new TreeMap<>();
+    private final Map<Integer, NodeIdentity> identities = new TreeMap<>();
     private int incarnations;
 
     Cluster() {
@@ -83,6 +87,7 @@
     /** Starts a node that does not run. */
     synchronized void startNode(int index) {
         NodeIdentity self = new NodeIdentity("n" + index, "d" + index % 2, host(index), "i" + ++incarnations, 100);
+        identities.put(index, self);
         EdgeSettings settings = new EdgeSettings(
                 self,
                 0.2,
@@ -107,6 +112,15 @@
         nodes.put(index, node);
     }
 
+    /** Writes a record of the placement lease that names a node, as the node itself would. */
+    synchronized void nameHolder(int index) {
+        claimTopic.put("placement", NAMED_TOKEN + " " + memberName(index));
+    }
+
+    synchronized String memberName(int index) {
+        return identities.get(index).memberName();
+    }
+
     /** Waits until all nodes know the configuration and the runners. */
     void awaitReady() throws InterruptedException {
         long untilNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(READY_TIMEOUT_SECONDS);
