--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/LogTailerTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/LogTailerTest.java
@@ -8,8 +8,11 @@
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 import org.agatehatch.api.log.AppendLog;
 import org.agatehatch.api.log.LogStreams;
 import org.agatehatch.internal.version.SnapshotCodec;
@@ -146,6 +149,74 @@
         assertEquals(snapshots.newest().toCompletableFuture().join().orElseThrow(), complete);
     }
 
+    /** Guards against a node that is far behind and repeats the same read, whose answer never arrives in time. */
+    @Test
+    public void a_node_that_is_far_behind_catches_up_over_a_slow_connection() {
+        AppendLog store = VirtualLog.store(1_000);
+        appendTo(store, importOf(sampleCatalogue()));
+        for (int version = 1; version <= 300; version++) {
+            appendTo(store, ownerChange("c" + version, version, "owner-" + version));
+        }
+        TestNode node = new TestNode("n1", time, store, 1);
+        node.log.setReadRate(recordBytes(store, 40) / 3);
+        node.start();
+
+        time.advance(120_000);
+
+        assertEquals(node.state.view().catalogue().version(), 301);
+        assertTrue(node.gate.isOpen(), node.gate.reason());
+    }
+
+    /** Guards against a snapshot that is larger than what the connection carries within the time-out of one read. */
+    @Test
+    public void a_snapshot_in_many_parts_is_read_over_a_slow_connection() {
+        AppendLog store = VirtualLog.store(1_000);
+        byte[] complete = new byte[3_000_000];
+        new Random(3).nextBytes(complete);
+        new SnapshotStore(store).write("s1", 10, complete).toCompletableFuture().join();
+        VirtualLog slow = new VirtualLog(time, store);
+        slow.setReadRate(150_000);
+
+        CompletableFuture<Optional<byte[]>> read =
+                new SnapshotStore(slow).newest().toCompletableFuture();
+        time.advance(60_000);
+
+        assertTrue(read.isDone(), "the snapshot was not read within a minute");
+        assertEquals(read.join().orElseThrow(), complete);
+    }
+
+    /** Guards against loads of a snapshot that pile up, each slowed by the others, when one takes longer than its time-out. */
+    @Test
+    public void a_snapshot_that_loads_slowly_is_not_loaded_several_times_at_once() {
+        AppendLog store = VirtualLog.store(2);
+        appendTo(store, importOf(sampleCatalogue()));
+        for (int i = 1; i <= 5; i++) {
+            appendTo(store, ownerChange("c" + i, i, "owner-" + i));
+        }
+        TestNode node = new TestNode("n1", time, store, 1);
+        List<CompletableFuture<Optional<byte[]>>> loads = new ArrayList<>();
+        ControlState state = new ControlState(node.thread, node.gate, () -> {
+            loads.add(new CompletableFuture<>());
+            return loads.get(loads.size() - 1);
+        });
+        LogTailer tailer = new LogTailer(
+                LogStreams.CONTROL, node.log, node.thread, new Random(1), LogTailer.Settings.DEFAULT, state);
+        tailer.start();
+
+        time.advance(100_000);
+        assertEquals(loads.size(), 1);
+
+        loads.get(0).complete(Optional.empty());
+        time.advance(100_000);
+        assertEquals(loads.size(), 2, "a load that ended without a snapshot is followed by another one");
+    }
+
+    private static long recordBytes(AppendLog store, int records) {
+        return store.read(LogStreams.CONTROL, 0, records, Duration.ZERO).toCompletableFuture().join().records().stream()
+                .mapToLong(record -> record.payload().length)
+                .sum();
+    }
+
     static void appendTo(AppendLog store, StateRecord record) {
         store.append(LogStreams.CONTROL, RecordBatchCodec.encode(List.of(record)));
     }
--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/links/PeerLink.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/links/PeerLink.java
@@ -16,9 +16,16 @@
 import org.apache.pekko.stream.BoundedSourceQueue;
 import org.apache.pekko.stream.QueueOfferResult;
 import org.apache.pekko.util.ByteString;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** One authenticated connection to another node. */
 public final class PeerLink {
+    private static final Logger log = LoggerFactory.getLogger(PeerLink.class);
+
+    /** Keeps a failure far below the frame limit. */
+    private static final int MAX_REASON_CHARS = 1_024;
+
     private final String id;
     private final boolean outgoing;
     private final PeerSession session;
@@ -68,21 +75,45 @@
         return bytesReceived.get();
     }
 
-    /** Sends a one-way message. Closes the link if the output queue is full because the peer reads too slowly. */
+    /**
+     * Sends a one-way message. Drops it if it does not fit into a frame, and closes the link if the output queue is full
+     * because the peer reads too slowly.
+     */
     public void send(PeerMessage message) {
-        sendFrame(new PeerFrame(PeerFrame.Kind.NOTICE, 0, message));
+        try {
+            sendFrame(new PeerFrame(PeerFrame.Kind.NOTICE, 0, message));
+        } catch (AgatehatchException e) {
+            log.warn(
+                    "notice not sent: link={} peer={} type={} cause={}",
+                    id,
+                    peerName(),
+                    message.type(),
+                    e.getMessage());
+        }
     }
 
-    /** Sends a message and returns its answer. Fails on timeout, on a failure at the peer and when the link closes. */
+    /**
+     * Sends a message and returns its answer. Fails on timeout, on a failure at the peer, when the link closes, and if the
+     * message does not fit into a frame.
+     */
     public CompletionStage<PeerMessage> ask(PeerMessage message, long timeoutMillis) {
         long correlation = nextCorrelationId.getAndIncrement();
         CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
         questions.put(correlation, answer);
-        sendFrame(new PeerFrame(PeerFrame.Kind.QUESTION, correlation, message));
+        try {
+            sendFrame(new PeerFrame(PeerFrame.Kind.QUESTION, correlation, message));
+        } catch (AgatehatchException e) {
+            answer.completeExceptionally(e);
+        }
         return answer.orTimeout(timeoutMillis, TimeUnit.MILLISECONDS)
                 .whenComplete((reply, failure) -> questions.remove(correlation));
     }
 
+    /** Returns the number of questions that wait for their answer. */
+    int pendingQuestions() {
+        return questions.size();
+    }
+
     public void close() {
         output.complete();
     }
@@ -119,24 +150,52 @@
 
     private void onFrame(PeerFrame frame) {
         switch (frame.kind()) {
-            case NOTICE -> handler.onNotice(this, frame.message());
+            case NOTICE -> receiveNotice(frame.message());
             case QUESTION -> answer(frame);
             case ANSWER -> complete(frame);
             case FAILURE -> fail(frame);
         }
     }
 
+    /** A notice that can't be processed is dropped; the peer would send it again over a new link. */
+    private void receiveNotice(PeerMessage notice) {
+        try {
+            handler.onNotice(this, notice);
+        } catch (RuntimeException e) {
+            log.warn("notice not processed: link={} peer={} type={}", id, peerName(), notice.type(), e);
+        }
+    }
+
     private void answer(PeerFrame question) {
-        handler.onQuestion(this, question.message()).whenComplete((reply, failure) -> {
-            if (failure == null) {
-                sendFrame(new PeerFrame(PeerFrame.Kind.ANSWER, question.correlationId(), reply));
+        handle(question.message()).whenComplete((reply, failure) -> {
+            if (failure != null) {
+                sendFailure(question.correlationId(), failure);
                 return;
             }
-            byte[] text = String.valueOf(failure.getMessage()).getBytes(StandardCharsets.UTF_8);
-            sendFrame(new PeerFrame(PeerFrame.Kind.FAILURE, question.correlationId(), new PeerMessage("error", text)));
+            try {
+                sendFrame(new PeerFrame(PeerFrame.Kind.ANSWER, question.correlationId(), reply));
+            } catch (AgatehatchException e) {
+                // The answer does not fit into a frame.
+                sendFailure(question.correlationId(), e);
+            }
         });
     }
 
+    private CompletionStage<PeerMessage> handle(PeerMessage question) {
+        try {
+            return handler.onQuestion(this, question);
+        } catch (RuntimeException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+
+    private void sendFailure(long correlationId, Throwable failure) {
+        String reason = String.valueOf(failure.getMessage());
+        String text = reason.substring(0, Math.min(reason.length(), MAX_REASON_CHARS));
+        PeerMessage message = new PeerMessage("error", text.getBytes(StandardCharsets.UTF_8));
+        sendFrame(new PeerFrame(PeerFrame.Kind.FAILURE, correlationId, message));
+    }
+
     private void complete(PeerFrame answer) {
         CompletableFuture<PeerMessage> question = questions.remove(answer.correlationId());
         if (question != null) {
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
@@ -189,7 +189,7 @@
         metrics.observeTopic(SERVER_TOPIC, serverFollower::viewAgeMillis, serverFollower::failedReads);
         metrics.observeConfig(() -> config.config().version());
         storeViews = new StoreViews(configFollower, serverFollower, softwareVersions, clock);
-        nodeGroup = new RelayedNodeGroup(platform.nodeGroup(), this::groupRelay);
+        nodeGroup = new RelayedNodeGroup(platform.nodeGroup(), this::groupRelay, control::execute);
         membership = newMembership();
         claim = newPlacementLease();
         handover = new PlacementHandover(
@@ -212,6 +212,7 @@
                 this::nodeCount,
                 new HolderFailureDetector(
                         settings.self(), () -> nodes, () -> placementHolder, claim::takeOverFrom, control, clock),
+                claim::onHolderNamed,
                 poisonRequests,
                 clock);
         shutdown = new GracefulShutdown(settings.shutdownGraceMillis(), clock, this::leaveGroup);
