Wait for the entries of restarted servers before a stream without a record goes on

A stream that no node knows goes on at the only version of its service. A server that restarted with another version, began a stream before its new entry was written and broke off could have its stream go on at the version of the others, if the caller took it up at once. Cause: the view of the servers had to be as recent as the request, but a process writes its entry up to 200 ms after it listens. Evidence: StreamVersionTest.a_stream_of_which_nothing_is_known_waits_for_the_entries_of_processes_that_listened_before failed before ('HTTP/1.1 200 OK' where 503 is expected). Fix: the view must have been read 200 ms after the request, when all processes that began a stream before it have written their entries; the wait grows from 1.2 to 1.4 s accordingly.

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ProcessCheck.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ProcessCheck.java
@@ -13,7 +13,7 @@
  */
 final class ProcessCheck {
     /** Time within which a process that has begun to listen writes its entry. */
-    private static final long REGISTRATION_MILLIS = 200;
+    static final long REGISTRATION_MILLIS = 200;
 
     /** Above the registration time plus the interval of 0.8 s in which a node reads the entries. */
     private static final long MAX_WAIT_MILLIS = 1_500;
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/StreamTakeUp.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/StreamTakeUp.java
@@ -20,8 +20,8 @@
     /** Interval at which it is checked whether this node's view of the servers has become recent enough. */
     private static final long VIEW_CHECK_MILLIS = 50;
 
-    /** Longest wait for a recent view; a node in touch with the store gets one about once a second. */
-    private static final long MAX_VIEW_WAIT_MILLIS = 1_200;
+    /** Longest wait for a recent view: above the registration time plus the interval in which a node reads the entries. */
+    private static final long MAX_VIEW_WAIT_MILLIS = 1_400;
 
     /** Time after a server has left this node's view in which another node may still begin a stream there. */
     private static final long VIEW_LAG_MILLIS = 3_000;
@@ -68,10 +68,14 @@
                         context.loop());
     }
 
-    /** The stream may have begun at a server that this node does not know yet, until its view is newer than the request. */
+    /**
+     * The stream may have begun at a server process that this node does not know yet, until its view holds the entries of all that
+     * listened before the request.
+     */
     private void awaitRecentView(
             HeaderCodec.RequestMetadata request, long untilMillis, Consumer<Optional<StreamOrigins.Origin>> listener) {
-        if (context.serverViewAsOf().test(arrivedNanos)) {
+        if (context.serverViewAsOf()
+                .test(arrivedNanos + TimeUnit.MILLISECONDS.toNanos(ProcessCheck.REGISTRATION_MILLIS))) {
             findOnlyPossibleOrigin()
                     .thenAcceptAsync(origin -> finish(request, origin, false, listener), context.loop());
         } else if (context.clock().millis() >= untilMillis) {
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/StreamVersionTest.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/StreamVersionTest.java
@@ -6,6 +6,8 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.agatehatch.gateway.ScriptedServer.AfterResponse;
 import org.agatehatch.gateway.ScriptedServer.ScriptedResponse;
 import org.testng.annotations.AfterMethod;
@@ -22,6 +24,9 @@
     private static final String END = "0\r\n\r\n";
     private static final int TAKE_UPS = 12;
 
+    /** Time within which a process that has begun to listen writes its entry. */
+    private static final long REGISTRATION_MILLIS = 200;
+
     private ScriptedServer.Script oldScript;
     private ScriptedServer.Script newScript;
     private ScriptedServer oldServer;
@@ -129,13 +134,48 @@
     public void a_stream_of_which_nothing_is_known_goes_on_if_only_one_version_was_there_for_as_long_as_streams_last()
             throws IOException {
         startGateway(List.of("v2"), newServer);
-        Waiting.until("an answer", () -> {
-            try {
-                return post("Last-Event-Id: 1\r\nX-Resumes: other\r\n").startsWith("HTTP/1.1 200 ");
-            } catch (IOException e) {
-                throw new java.io.UncheckedIOException(e);
-            }
-        });
+        Waiting.until("an answer", this::takesUpStreamOfWhichNothingIsKnown);
+    }
+
+    private boolean takesUpStreamOfWhichNothingIsKnown() {
+        try {
+            return post("Last-Event-Id: 1\r\nX-Resumes: other\r\n").startsWith("HTTP/1.1 200 ");
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
+    // Guards against a stream that goes on at the version of the entries, but was begun by a restarted server that had
+    // not
+    // written its entry yet.
+    @Test
+    public void a_stream_of_which_nothing_is_known_waits_for_the_entries_of_processes_that_listened_before()
+            throws IOException {
+        startGateway(List.of("v2", "v2"), newServer, oldServer);
+        Waiting.until("an answer", this::takesUpStreamOfWhichNothingIsKnown);
+        newScript.requests.clear();
+        oldScript.respondWith(new ScriptedResponse(EVENTS + SECOND + END, AfterResponse.KEEP));
+        AtomicInteger questions = new AtomicInteger();
+        // The request arrives later, so a process that began to listen before has written its entry after this time.
+        long viewNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(REGISTRATION_MILLIS);
+        gateway.serverViewAsOf = nanos -> {
+            questions.incrementAndGet();
+            return viewNanos - nanos >= 0;
+        };
+        try (RawCaller caller = new RawCaller(gateway.port)) {
+            caller.send(RawCaller.request(
+                    "POST", "/resume/1", "Connection: close\r\nLast-Event-Id: 1\r\nX-Resumes: other\r\n", "body"));
+            Waiting.until("checks of the view", () -> questions.get() > 4 || sends() > 0);
+            gateway.onRestarted(1, "v3");
+            gateway.serverViewAsOf = nanos -> true;
+            String response = caller.readAll();
+            assertTrue(response.startsWith("HTTP/1.1 503 "), response);
+        }
+        assertEquals(sends(), 0, "sends");
+    }
+
+    private int sends() {
+        return newScript.requests.size() + oldScript.requests.size();
     }
 
     // Guards against a version that is taken from the entry of a server's former process.
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestGateway.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestGateway.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.LongPredicate;
 import org.agatehatch.api.fleet.ClientLimits;
 import org.agatehatch.api.fleet.FleetConfig;
 import org.agatehatch.api.fleet.PeerAddress;
@@ -70,6 +71,9 @@
     volatile long lifeMillis = Long.MAX_VALUE;
 
     volatile boolean viewIsRecent = true;
+
+    /** Whether the view of the servers, while it is recent, holds what the store knew at a time. */
+    volatile LongPredicate serverViewAsOf = nanos -> true;
     /** Whether all servers load each requested model at once. */
     volatile boolean loadsModels;
     /** Whether requests for models are never answered, so that the requests that need them wait. */
@@ -170,7 +174,7 @@
                 streamOrigins(streamOriginLog, softwareVersions, clock),
                 softwareVersions,
                 (service, spanMillis) -> CompletableFuture.completedFuture(Optional.empty()),
-                nanos -> viewIsRecent,
+                nanos -> viewIsRecent && serverViewAsOf.test(nanos),
                 () -> viewIsRecent,
                 (team, tokens) -> quotaAdmission.admit(team, tokens),
                 new TeamLog(clock, metrics),
