Let nodes without the store learn the processes of servers from their peers

At a node that is cut off from the store no stream that began elsewhere went on, although its peers knew where it began. Cause: a send that goes on a stream waits for an entry of its server that is newer than the connection, and such a node reads none. Fix: a node whose view of the servers is late asks the nodes that read the store for the process that a server's entry names. They answer once a read of the store that began after the question has been applied, and otherwise that they don't know, so the answer is as good as the node's own read. A node that reads through a relay does not answer. The question for a service's only version is answered in the same way; its answers came from views of up to 2 s before, so that a version that came since could be missed. With every answer sound by itself, the first one that knows decides.

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
@@ -141,6 +141,7 @@
     private final RequestPacer pacer = new RequestPacer(clock);
     private final LimitCoordinator limitCoordinator;
     private final StreamOriginExchange streamOriginExchange;
+    private final ServerViewExchange serverViewExchange;
     private final QuotaExchange quotaExchange;
     private final StreamOrigins streamOrigins;
     private final CrashEvidenceExchange crashEvidence;
@@ -192,6 +193,7 @@
                 settings.self(), claim, () -> nodes, peerTransport, settings.peerPort(), control, clock, random);
         quotaExchange = newQuotaExchange();
         chooser = newChooser();
+        serverViewExchange = newServerViewExchange();
         residencyController = newResidencyController();
         residencyClient = new ResidencyClient(
                 loop,
@@ -305,6 +307,11 @@
                 new CapacityLog(metrics, clock));
     }
 
+    private ServerViewExchange newServerViewExchange() {
+        FollowedServerView view = new FollowedServerView(serverFollower, chooser, softwareVersions);
+        return new ServerViewExchange(loop, settings.self(), () -> nodes, settings.peerPort(), view, clock);
+    }
+
     private int slots(String service) {
         return Optional.ofNullable(config.config().services().get(service))
                 .flatMap(ServiceSpec::engine)
@@ -363,6 +370,7 @@
         loop.execute(() -> crashEvidence.start(peerTransport));
         loop.execute(() -> limitCoordinator.start(peerTransport));
         loop.execute(() -> streamOriginExchange.start(peerTransport));
+        loop.execute(() -> serverViewExchange.start(peerTransport));
         loop.execute(() -> quotaExchange.start(peerTransport));
         control.execute(() -> peerBootstrap.start(peerTransport));
         new StatusListeners(group, clock, callerMemory).bind(listeners, metrics::scrape, this::isReady);
@@ -433,7 +441,8 @@
                 limitCoordinator,
                 streamOrigins,
                 softwareVersions,
-                streamOriginExchange::findOnlyVersion,
+                serverViewExchange,
+                serverViewExchange,
                 storeViews::knowsServersAsOf,
                 storeViews::heardOfConfigRecently,
                 quotaExchange.admission(),
@@ -524,8 +533,8 @@
                 handover.receive(message);
             case QuotaMessages.QUESTION_TYPE -> quotaExchange.receive(message);
             case StreamOriginMessages.QUESTION_TYPE -> streamOriginExchange.receive(message, streamOrigins::remembered);
-            case StreamOriginMessages.VERSION_QUESTION_TYPE ->
-                streamOriginExchange.receiveVersionQuestion(message, storeViews::onlyVersion);
+            case StreamOriginMessages.VERSION_QUESTION_TYPE -> serverViewExchange.receiveVersionQuestion(message);
+            case StreamOriginMessages.PROCESS_QUESTION_TYPE -> serverViewExchange.receiveProcessQuestion(message);
             default -> residencyClient.receive(message);
         };
     }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/StreamOriginExchange.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/StreamOriginExchange.java
@@ -1,10 +1,8 @@
 package org.agatehatch.gateway.process;
 
 import io.netty.channel.EventLoop;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -16,7 +14,6 @@
 import org.agatehatch.internal.process.NodeIdentity;
 import org.agatehatch.internal.process.NodeView;
 import org.agatehatch.internal.process.StreamOriginMessages;
-import org.agatehatch.internal.process.StreamOriginMessages.VersionQuestion;
 import org.agatehatch.internal.request.StreamOrigins.Origin;
 
 /**
@@ -72,41 +69,6 @@
         return result;
     }
 
-    /**
-     * Completes with the only version that a service has had for a span of time, by the word of nodes that have observed it for so
-     * long; empty if none has, or if they differ.
-     */
-    CompletionStage<Optional<String>> findOnlyVersion(String service, long spanMillis) {
-        List<NodeIdentity> others = otherNodes();
-        CompletableFuture<Optional<String>> result = new CompletableFuture<>();
-        if (others.isEmpty() || transport.isEmpty()) {
-            result.complete(Optional.empty());
-            return result;
-        }
-        AtomicInteger unanswered = new AtomicInteger(others.size());
-        Set<String> versions = new HashSet<>();
-        PeerMessage question = StreamOriginMessages.encode(new VersionQuestion(service, spanMillis));
-        for (NodeIdentity node : others) {
-            transport
-                    .get()
-                    .ask(new PeerAddress(node.host(), peerPort).toString(), question, ASK_TIMEOUT_MILLIS)
-                    .thenApply(StreamOriginMessages::decodeVersion)
-                    .exceptionally(failure -> Optional.empty())
-                    .thenAcceptAsync(
-                            version -> {
-                                version.ifPresent(versions::add);
-                                if (unanswered.decrementAndGet() == 0) {
-                                    result.complete(
-                                            versions.size() == 1
-                                                    ? versions.stream().findAny()
-                                                    : Optional.empty());
-                                }
-                            },
-                            loop);
-        }
-        return result;
-    }
-
     private List<NodeIdentity> otherNodes() {
         return nodes.get().nodes().stream()
                 .filter(node -> !node.name().equals(self.name()))
@@ -120,13 +82,4 @@
                         remembered.apply(StreamOriginMessages.decodeQuestion(question))),
                 loop);
     }
-
-    /** Answers another node's question for a service's only version. */
-    CompletionStage<PeerMessage> receiveVersionQuestion(
-            PeerMessage question, Function<VersionQuestion, Optional<String>> onlyVersion) {
-        return CompletableFuture.supplyAsync(
-                () -> StreamOriginMessages.encodeVersion(
-                        onlyVersion.apply(StreamOriginMessages.decodeVersionQuestion(question))),
-                loop);
-    }
 }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ExchangeContext.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ExchangeContext.java
@@ -44,6 +44,7 @@
         StreamOrigins streamOrigins,
         SoftwareVersions softwareVersions,
         PeerVersions versionsSeenByPeers,
+        PeerProcesses processesSeenByPeers,
         LongPredicate serverViewAsOf,
         BooleanSupplier configViewRecent,
         QuotaAdmission quotaAdmission,
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ProcessCheck.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ProcessCheck.java
@@ -5,6 +5,7 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.agatehatch.api.fleet.ServerEntry;
+import org.agatehatch.internal.process.StreamOriginMessages.ServerProcess;
 
 /**
  * Checks that a server's entry still described the process at its address at a given time. A server may start again under its id
@@ -20,6 +21,9 @@
 
     private static final long CHECK_INTERVAL_MILLIS = 50;
 
+    /** Above the age that the view of a node reaches between two reads of the store. */
+    private static final long LATE_VIEW_MILLIS = 1_200;
+
     private final ExchangeContext context;
 
     ProcessCheck(ExchangeContext context) {
@@ -43,16 +47,45 @@
             long untilMillis,
             Consumer<Boolean> listener) {
         Optional<ServerEntry> entry = context.chooser().entry(server.service(), server.id());
-        boolean recent = context.serverViewAsOf().test(atNanos + TimeUnit.MILLISECONDS.toNanos(REGISTRATION_MILLIS));
+        long registeredNanos = atNanos + TimeUnit.MILLISECONDS.toNanos(REGISTRATION_MILLIS);
+        boolean recent = context.serverViewAsOf().test(registeredNanos);
         boolean met = entry.filter(condition).isPresent();
         if (recent || entry.isPresent() && !met || context.clock().millis() >= untilMillis) {
             listener.accept(recent && met);
             return;
         }
+        Optional<ServerProcess> told = processToldByPeers(server, registeredNanos);
+        if (told.isPresent()) {
+            listener.accept(condition.test(withProcess(server, told.get())));
+            return;
+        }
         context.loop()
                 .schedule(
                         () -> check(server, atNanos, condition, untilMillis, listener),
                         CHECK_INTERVAL_MILLIS,
                         TimeUnit.MILLISECONDS);
     }
+
+    /** Asks other nodes only if this node's own view is late, as without a path to the store, or if it reads through a relay. */
+    private Optional<ServerProcess> processToldByPeers(ServerEntry server, long registeredNanos) {
+        long nowNanos = context.clock().nanos();
+        boolean late = !context.serverViewAsOf().test(nowNanos - TimeUnit.MILLISECONDS.toNanos(LATE_VIEW_MILLIS));
+        return late && nowNanos - registeredNanos >= 0
+                ? context.processesSeenByPeers().asOf(server.service(), server.id(), registeredNanos)
+                : Optional.empty();
+    }
+
+    private static ServerEntry withProcess(ServerEntry server, ServerProcess process) {
+        return new ServerEntry(
+                server.id(),
+                server.service(),
+                server.address(),
+                server.failureDomain(),
+                server.slots(),
+                server.draining(),
+                process.startedAtMillis(),
+                process.softwareVersion(),
+                server.models(),
+                server.locallyCachedModels());
+    }
 }
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/StreamVersionTest.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/StreamVersionTest.java
@@ -6,10 +6,12 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.agatehatch.gateway.ScriptedServer.AfterResponse;
 import org.agatehatch.gateway.ScriptedServer.ScriptedResponse;
+import org.agatehatch.internal.process.StreamOriginMessages.ServerProcess;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -245,4 +247,27 @@
             assertTrue(caller.readAll().endsWith(END));
         }
     }
+
+    // Guards against a stream that is refused at a node without the store, although other nodes know the server's
+    // process.
+    @Test
+    public void a_stream_goes_on_at_a_node_with_a_late_view_if_other_nodes_confirm_the_server() throws IOException {
+        beginStreamAtOldVersion();
+        startGateway(List.of("v1"), newServer);
+        gateway.viewIsRecent = false;
+        gateway.processToldByPeers = Optional.of(new ServerProcess(1, "v1"));
+        assertTrue(post("Last-Event-Id: 1\r\nX-Resumes: 7\r\n").endsWith(END));
+    }
+
+    // Guards against a stream that goes on at another version, because its node has not heard of a server's restart.
+    @Test
+    public void a_stream_does_not_go_on_at_a_server_that_other_nodes_know_by_another_version() throws IOException {
+        beginStreamAtOldVersion();
+        startGateway(List.of("v1"), newServer);
+        gateway.viewIsRecent = false;
+        gateway.processToldByPeers = Optional.of(new ServerProcess(2, "v2"));
+        String response = post("Last-Event-Id: 1\r\nX-Resumes: 7\r\n");
+        assertTrue(response.startsWith("HTTP/1.1 503 "), response);
+        assertEquals(newScript.requests.size(), 0, "sends to the other version");
+    }
 }
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestGateway.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestGateway.java
@@ -41,6 +41,7 @@
 import org.agatehatch.internal.process.LearnedCapacity;
 import org.agatehatch.internal.process.LoadAggregator;
 import org.agatehatch.internal.process.PoisonRequestDetector;
+import org.agatehatch.internal.process.StreamOriginMessages;
 import org.agatehatch.internal.request.ChooserSettings;
 import org.agatehatch.internal.request.QuotaAdmission;
 import org.agatehatch.internal.request.RequestPacer;
@@ -74,6 +75,12 @@
 
     /** Whether the view of the servers, while it is recent, holds what the store knew at a time. */
     volatile LongPredicate serverViewAsOf = nanos -> true;
+    /** What the other nodes tell of the process of any server. */
+    volatile Optional<StreamOriginMessages.ServerProcess> processToldByPeers = Optional.empty();
+
+    /** What the other nodes tell of the versions of any service. */
+    volatile Optional<String> versionToldByPeers = Optional.empty();
+
     /** Whether all servers load each requested model at once. */
     volatile boolean loadsModels;
     /** Whether requests for models are never answered, so that the requests that need them wait. */
@@ -173,7 +180,8 @@
                 (process, limitPerSecond, maxDelayMillis) -> grantPermit(),
                 streamOrigins(streamOriginLog, softwareVersions, clock),
                 softwareVersions,
-                (service, spanMillis) -> CompletableFuture.completedFuture(Optional.empty()),
+                (service, spanMillis) -> CompletableFuture.completedFuture(versionToldByPeers),
+                (service, serverId, nanos) -> processToldByPeers,
                 nanos -> viewIsRecent && serverViewAsOf.test(nanos),
                 () -> viewIsRecent,
                 (team, tokens) -> quotaAdmission.admit(team, tokens),
