Let nodes of large groups take up streams that are not on record

In a group of more than 16 nodes, streams of a killed node were refused although their service had one version all the time. Cause: in such a group a view counts as recent only 1.2 s later, since what a relay tells may be that old. With 0.9 s between reads, the wait of 1.4 s was over before. Evidence: StreamTakeUpTest.streams_of_a_killed_node_of_a_large_group_go_on_at_the_only_version failed before with 'streams that were refused: 13 of 14'; now 14 of 14 go on. Fix: 0.2 s after the request, a node whose view is late asks the nodes that read the store for the only version until then, as a node does that has not observed the service for long enough. Neither waits for a view of its own any more. A stream of a service in which it has seen two versions is refused at once.

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Exchange.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Exchange.java
@@ -137,7 +137,7 @@
 
     private void onAdmitted() {
         if (route.streaming() && route.resumable() && metadata.takeUp().isPresent()) {
-            new StreamTakeUp(context, route, service, request.arrivedNanos()).resolve(metadata, this::onOrigin);
+            new StreamTakeUp(context, route, service, request.arrivedNanos(), metadata, this::onOrigin).start();
             return;
         }
         context.retryBudget().countRequest(service);
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ExchangeContext.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ExchangeContext.java
@@ -1,6 +1,7 @@
 package org.agatehatch.gateway.request;
 
 import io.netty.channel.EventLoop;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongPredicate;
 import java.util.random.RandomGenerator;
@@ -52,4 +53,15 @@
         ProcessLife life,
         ResponseMemory responseMemory,
         GatewayMetrics metrics,
-        ExchangeTimeouts timeouts) {}
+        ExchangeTimeouts timeouts) {
+    /** Above the age that the view of a node reaches between two reads of the store. */
+    private static final long LATE_VIEW_MILLIS = 1_200;
+
+    /**
+     * Returns whether other nodes know the servers better than this one, which does not reach the store or reads it through a
+     * relay.
+     */
+    boolean serverViewIsLate() {
+        return !serverViewAsOf.test(clock.nanos() - TimeUnit.MILLISECONDS.toNanos(LATE_VIEW_MILLIS));
+    }
+}
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ProcessCheck.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ProcessCheck.java
@@ -21,9 +21,6 @@
 
     private static final long CHECK_INTERVAL_MILLIS = 50;
 
-    /** Above the age that the view of a node reaches between two reads of the store. */
-    private static final long LATE_VIEW_MILLIS = 1_200;
-
     private final ExchangeContext context;
 
     ProcessCheck(ExchangeContext context) {
@@ -66,11 +63,8 @@
                         TimeUnit.MILLISECONDS);
     }
 
-    /** Asks other nodes only if this node's own view is late, as without a path to the store, or if it reads through a relay. */
     private Optional<ServerProcess> processToldByPeers(ServerEntry server, long registeredNanos) {
-        long nowNanos = context.clock().nanos();
-        boolean late = !context.serverViewAsOf().test(nowNanos - TimeUnit.MILLISECONDS.toNanos(LATE_VIEW_MILLIS));
-        return late && nowNanos - registeredNanos >= 0
+        return context.serverViewIsLate() && context.clock().nanos() - registeredNanos >= 0
                 ? context.processesSeenByPeers().asOf(server.service(), server.id(), registeredNanos)
                 : Optional.empty();
     }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/StreamTakeUp.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/StreamTakeUp.java
@@ -2,8 +2,6 @@
 
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.agatehatch.api.fleet.RouteSpec;
@@ -14,7 +12,7 @@
 
 /**
  * Finds out where a stream that a caller takes up must go on. What two versions of the servers' software write does not fit
- * together, and servers don't check it, so that a stream whose version is not known goes nowhere.
+ * together, and servers don't check it, so that a stream whose version is not known goes nowhere. Used for one request.
  */
 final class StreamTakeUp {
     /** Interval at which it is checked whether this node's view of the servers has become recent enough. */
@@ -31,19 +29,35 @@
     private final ExchangeContext context;
     private final RouteSpec route;
     private final String service;
-    private final long arrivedNanos;
+    private final long registeredNanos;
+    private final String attemptId;
+    private final String originAttemptId;
+    private final Consumer<Optional<StreamOrigins.Origin>> listener;
+    private long untilMillis;
+    private boolean peersAsked;
+    private boolean finished;
 
     /**
      * Creates the search for a request.
      *
      * @param service service of the stream if it is not on record
      * @param arrivedNanos time of the request's arrival
+     * @param listener receives the origin of the stream on the traffic thread; empty if it is not known
      */
-    StreamTakeUp(ExchangeContext context, RouteSpec route, String service, long arrivedNanos) {
+    StreamTakeUp(
+            ExchangeContext context,
+            RouteSpec route,
+            String service,
+            long arrivedNanos,
+            HeaderCodec.RequestMetadata request,
+            Consumer<Optional<StreamOrigins.Origin>> listener) {
         this.context = context;
         this.route = route;
         this.service = service;
-        this.arrivedNanos = arrivedNanos;
+        this.registeredNanos = arrivedNanos + TimeUnit.MILLISECONDS.toNanos(ProcessCheck.REGISTRATION_MILLIS);
+        this.attemptId = request.attemptId();
+        this.originAttemptId = request.takeUp().orElseThrow().originAttemptId();
+        this.listener = listener;
     }
 
     /** Returns the time for which a stream may be taken up, and other nodes may begin it at servers that this node saw leave. */
@@ -51,56 +65,60 @@
         return route.timeoutMillis() + VIEW_LAG_MILLIS;
     }
 
-    /** Passes on the origin of the stream on the traffic thread; empty if it is not known. */
-    void resolve(HeaderCodec.RequestMetadata request, Consumer<Optional<StreamOrigins.Origin>> listener) {
-        String originAttemptId = request.takeUp().orElseThrow().originAttemptId();
-        context.streamOrigins()
-                .originOf(originAttemptId)
-                .thenAcceptAsync(
-                        known -> {
-                            if (known.isPresent()) {
-                                finish(request, known, true, listener);
-                            } else {
-                                long nowMillis = context.clock().millis();
-                                awaitRecentView(request, nowMillis + MAX_VIEW_WAIT_MILLIS, listener);
-                            }
-                        },
-                        context.loop());
+    /** Starts the search. */
+    void start() {
+        context.streamOrigins().originOf(originAttemptId).thenAcceptAsync(this::onLookedUp, context.loop());
+    }
+
+    private void onLookedUp(Optional<StreamOrigins.Origin> known) {
+        if (known.isPresent()) {
+            finish(known, "recorded");
+            return;
+        }
+        untilMillis = context.clock().millis() + MAX_VIEW_WAIT_MILLIS;
+        findOnlyVersion();
     }
 
     /**
-     * The stream may have begun at a server process that this node does not know yet, until its view holds the entries of all that
-     * listened before the request.
+     * A stream that is not on record goes on if it can have begun at one version only. It may have begun at a server process that is
+     * not known yet, until the entries of all that listened before the request have been read.
      */
-    private void awaitRecentView(
-            HeaderCodec.RequestMetadata request, long untilMillis, Consumer<Optional<StreamOrigins.Origin>> listener) {
-        if (context.serverViewAsOf()
-                .test(arrivedNanos + TimeUnit.MILLISECONDS.toNanos(ProcessCheck.REGISTRATION_MILLIS))) {
-            findOnlyPossibleOrigin()
-                    .thenAcceptAsync(origin -> finish(request, origin, false, listener), context.loop());
-        } else if (context.clock().millis() >= untilMillis) {
-            finish(request, Optional.empty(), false, listener);
-        } else {
-            context.loop()
-                    .schedule(
-                            () -> awaitRecentView(request, untilMillis, listener),
-                            VIEW_CHECK_MILLIS,
-                            TimeUnit.MILLISECONDS);
+    private void findOnlyVersion() {
+        if (finished) {
+            return;
         }
+        if (route.services().size() > 1
+                || versionsSeen().size() > 1
+                || context.clock().millis() >= untilMillis) {
+            finish(Optional.empty(), "unknown");
+            return;
+        }
+        boolean recent = context.serverViewAsOf().test(registeredNanos);
+        Optional<String> own = context.softwareVersions().onlyVersion(service, spanMillis(route));
+        if (recent && own.isPresent()) {
+            finish(own.map(this::origin), "only_version");
+            return;
+        }
+        boolean selfWillTell = own.isPresent() && !context.serverViewIsLate();
+        if (!peersAsked && !selfWillTell && context.clock().nanos() - registeredNanos >= 0) {
+            peersAsked = true;
+            context.versionsSeenByPeers()
+                    .find(service, spanMillis(route))
+                    .thenAcceptAsync(this::onToldByPeers, context.loop());
+        }
+        context.loop().schedule(this::findOnlyVersion, VIEW_CHECK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private void finish(
-            HeaderCodec.RequestMetadata request,
-            Optional<StreamOrigins.Origin> origin,
-            boolean onRecord,
-            Consumer<Optional<StreamOrigins.Origin>> listener) {
-        record(request.attemptId(), request.takeUp().orElseThrow().originAttemptId(), onRecord, origin);
-        listener.accept(origin);
+    private void onToldByPeers(Optional<String> version) {
+        Set<String> seen = versionsSeen();
+        Optional<String> believed = version.filter(found -> seen.isEmpty() || seen.equals(Set.of(found)));
+        if (!finished && believed.isPresent()) {
+            finish(believed.map(this::origin), "only_version");
+        }
     }
 
-    private void record(
-            String attemptId, String originAttemptId, boolean onRecord, Optional<StreamOrigins.Origin> origin) {
-        String source = onRecord ? "recorded" : origin.isPresent() ? "only_version" : "unknown";
+    private void finish(Optional<StreamOrigins.Origin> origin, String source) {
+        finished = true;
         context.metrics().streamTakenUp(source);
         log.info(
                 "event=stream_taken_up id={} origin={} service={} version={} source={}",
@@ -109,26 +127,11 @@
                 origin.map(StreamOrigins.Origin::service).orElse("-"),
                 origin.map(StreamOrigins.Origin::softwareVersion).orElse("-"),
                 source);
+        listener.accept(origin);
     }
 
-    /**
-     * Finds the origin of a stream that is not on record if there was only one for as long as a stream may last. A node that has
-     * just started asks the others what they saw, and makes sure that it has seen nothing else since.
-     */
-    private CompletionStage<Optional<StreamOrigins.Origin>> findOnlyPossibleOrigin() {
-        if (route.services().size() > 1) {
-            return CompletableFuture.completedFuture(Optional.empty());
-        }
-        long spanMillis = spanMillis(route);
-        Optional<String> own = context.softwareVersions().onlyVersion(service, spanMillis);
-        Set<String> seen = context.softwareVersions().versionsSeen(service, spanMillis);
-        if (own.isPresent() || seen.size() > 1) {
-            return CompletableFuture.completedFuture(own.map(this::origin));
-        }
-        return context.versionsSeenByPeers()
-                .find(service, spanMillis)
-                .thenApply(version -> version.filter(found -> seen.isEmpty() || seen.contains(found))
-                        .map(this::origin));
+    private Set<String> versionsSeen() {
+        return context.softwareVersions().versionsSeen(service, spanMillis(route));
     }
 
     private StreamOrigins.Origin origin(String version) {
