Look up a stream once more before it is refused

Beside a second version, streams that broke off soon after their first event were refused at every node, although two servers of their version served. Cause: the node that begins a stream remembers and records it once an entry that is newer than the connection confirms its version, 0.2 to 1.1 s later. A caller that took the stream up before that found it unknown. Evidence: StreamTakeUpTest.streams_that_broke_off_at_once_go_on_at_another_node_beside_a_second_version failed before with 'streams that were refused: 14 of 14'; now all 14 go on. Fix: a stream that is not known and can have begun at several versions is looked up again 1.4 s after the request, when the version is decided.

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/StreamTakeUp.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/StreamTakeUp.java
@@ -87,24 +87,24 @@
         if (finished) {
             return;
         }
-        if (route.services().size() > 1
-                || versionsSeen().size() > 1
-                || context.clock().millis() >= untilMillis) {
-            finish(Optional.empty(), "unknown");
+        if (context.clock().millis() >= untilMillis) {
+            lookUpAgain();
             return;
         }
-        boolean recent = context.serverViewAsOf().test(registeredNanos);
-        Optional<String> own = context.softwareVersions().onlyVersion(service, spanMillis(route));
-        if (recent && own.isPresent()) {
-            finish(own.map(this::origin), "only_version");
-            return;
-        }
-        boolean selfWillTell = own.isPresent() && !context.serverViewIsLate();
-        if (!peersAsked && !selfWillTell && context.clock().nanos() - registeredNanos >= 0) {
-            peersAsked = true;
-            context.versionsSeenByPeers()
-                    .find(service, spanMillis(route))
-                    .thenAcceptAsync(this::onToldByPeers, context.loop());
+        if (route.services().size() == 1 && versionsSeen().size() < 2) {
+            boolean recent = context.serverViewAsOf().test(registeredNanos);
+            Optional<String> own = context.softwareVersions().onlyVersion(service, spanMillis(route));
+            if (recent && own.isPresent()) {
+                finish(own.map(this::origin), "only_version");
+                return;
+            }
+            boolean selfWillTell = own.isPresent() && !context.serverViewIsLate();
+            if (!peersAsked && !selfWillTell && context.clock().nanos() - registeredNanos >= 0) {
+                peersAsked = true;
+                context.versionsSeenByPeers()
+                        .find(service, spanMillis(route))
+                        .thenAcceptAsync(this::onToldByPeers, context.loop());
+            }
         }
         context.loop().schedule(this::findOnlyVersion, VIEW_CHECK_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -117,6 +117,19 @@
         }
     }
 
+    /** The node that began the stream may have confirmed its version meanwhile. */
+    private void lookUpAgain() {
+        context.streamOrigins()
+                .originOf(originAttemptId)
+                .thenAcceptAsync(
+                        known -> {
+                            if (!finished) {
+                                finish(known, known.isPresent() ? "recorded" : "unknown");
+                            }
+                        },
+                        context.loop());
+    }
+
     private void finish(Optional<StreamOrigins.Origin> origin, String source) {
         finished = true;
         context.metrics().streamTakenUp(source);
