--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestGateway.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/TestGateway.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.LongPredicate;
 import org.agatehatch.api.fleet.ClientLimits;
 import org.agatehatch.api.fleet.FleetConfig;
 import org.agatehatch.api.fleet.PeerAddress;
@@ -40,6 +41,7 @@
 import org.agatehatch.internal.process.LearnedCapacity;
 import org.agatehatch.internal.process.LoadAggregator;
 import org.agatehatch.internal.process.PoisonRequestDetector;
+import org.agatehatch.internal.process.StreamOriginMessages;
 import org.agatehatch.internal.request.ChooserSettings;
 import org.agatehatch.internal.request.QuotaAdmission;
 import org.agatehatch.internal.request.RequestPacer;
@@ -70,6 +72,15 @@
     volatile long lifeMillis = Long.MAX_VALUE;
 
     volatile boolean viewIsRecent = true;
+
+    /** Whether the view of the servers, while it is recent, holds what the store knew at a time. */
+    volatile LongPredicate serverViewAsOf = nanos -> true;
+    /** What the other nodes tell of the process of any server. */
+    volatile Optional<StreamOriginMessages.ServerProcess> processToldByPeers = Optional.empty();
+
+    /** What the other nodes tell of the versions of any service. */
+    volatile Optional<String> versionToldByPeers = Optional.empty();
+
     /** Whether all servers load each requested model at once. */
     volatile boolean loadsModels;
     /** Whether requests for models are never answered, so that the requests that need them wait. */
@@ -169,8 +180,9 @@
                 (process, limitPerSecond, maxDelayMillis) -> grantPermit(),
                 streamOrigins(streamOriginLog, softwareVersions, clock),
                 softwareVersions,
-                (service, spanMillis) -> CompletableFuture.completedFuture(Optional.empty()),
-                nanos -> viewIsRecent,
+                (service, spanMillis) -> CompletableFuture.completedFuture(versionToldByPeers),
+                (service, serverId, nanos) -> processToldByPeers,
+                nanos -> viewIsRecent && serverViewAsOf.test(nanos),
                 () -> viewIsRecent,
                 (team, tokens) -> quotaAdmission.admit(team, tokens),
                 new TeamLog(clock, metrics),
