Take only the rest of a stream for the rest of a stream

Callers saw the text of a plain response in the middle of their stream, or a stream that had broken off ended with a final chunk. After a stream had begun and broken off, an attempt at the next server was ended for an error status only. A 200 of another media type was split into events and relayed, and an empty 200, a 204 or a 205 ended the stream as complete. A second server that was asked while the first one was only silent took over in the same way.

A later response now has to have the status, media type and content encoding of the one that began the stream. Anything else ends its attempt as broken, so that the caller's connection is cut, or the silent server keeps the stream. Media types are compared without parameters and in any case, which also makes 'Text/Event-Stream' an event stream.

A response of the right type without events and with a whole framing still ends the stream: the server may have been asked for the events after the last one.

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
@@ -244,7 +244,7 @@
             abort(AttemptEnd.BROKEN, "success response without the server's signature");
             return Disposition.ACCEPT;
         }
-        if (exchange.relay().started() && !success) {
+        if (exchange.relay().started() && !exchange.relay().isContinuedBy(head)) {
             abort(AttemptEnd.BROKEN, "status " + status + " in place of the rest of the stream");
             return Disposition.ACCEPT;
         }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ResponseRelay.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ResponseRelay.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.io.ByteArrayOutputStream;
+import java.util.Locale;
 import org.agatehatch.gateway.connection.ResponseSink;
 import org.agatehatch.internal.request.EventBoundary;
 import org.agatehatch.internal.request.EventSplitter;
@@ -42,7 +43,26 @@
 
     /** Returns whether the content of a response is an event stream. */
     static boolean isEventStream(HttpResponse head) {
-        return head.headers().get(HttpHeaderNames.CONTENT_TYPE, "").startsWith(EVENT_STREAM);
+        return mediaType(head.headers()).equals(EVENT_STREAM);
+    }
+
+    /**
+     * Returns whether the body of a later response can take the place of the rest of the stream that has begun. A plain answer,
+     * such as an error page with status 200, or an empty one, would pass for a part or for the end of the stream.
+     */
+    boolean isContinuedBy(HttpResponse response) {
+        return response.status().equals(status)
+                && mediaType(response.headers()).equals(mediaType(headers))
+                && response.headers()
+                        .get(HttpHeaderNames.CONTENT_ENCODING, "")
+                        .equals(headers.get(HttpHeaderNames.CONTENT_ENCODING, ""));
+    }
+
+    private static String mediaType(HttpHeaders headers) {
+        return headers.get(HttpHeaderNames.CONTENT_TYPE, "")
+                .split(";", 2)[0]
+                .strip()
+                .toLowerCase(Locale.ROOT);
     }
 
     /** Starts the response of an attempt. Once a stream to the caller has started, heads of later attempts are ignored. */
--- /dev/null
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/BrokenStreamTest.java
@@ -0,0 +1,165 @@
+package org.agatehatch.gateway;
+
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import org.agatehatch.gateway.ScriptedServer.AfterResponse;
+import org.agatehatch.gateway.ScriptedServer.ScriptedResponse;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Guards against a stream that broke off and whose caller gets something else in place of the rest, or the end of a complete
+ * stream.
+ */
+public final class BrokenStreamTest {
+    private static final String OWN = "X-Id: ID\r\nX-Seal: s\r\n";
+    private static final String EVENT_TYPE = "Content-Type: text/event-stream\r\n";
+    private static final String CHUNKED = "Transfer-Encoding: chunked\r\n\r\n";
+    private static final String EVENTS = "HTTP/1.1 200 OK\r\n" + OWN + EVENT_TYPE + CHUNKED;
+    private static final String UNFRAMED_EVENTS = "HTTP/1.1 200 OK\r\n" + OWN + EVENT_TYPE + "\r\n";
+    private static final String FIRST = "id: 1\ndata: a\n\n";
+    private static final String SECOND = "id: 2\ndata: b\n\n";
+    private static final String FINAL_CHUNK = "0\r\n\r\n";
+    private static final ScriptedResponse REST =
+            new ScriptedResponse(EVENTS + chunk(SECOND) + FINAL_CHUNK, AfterResponse.KEEP);
+
+    private ScriptedServer.Script script;
+    private ScriptedServer one;
+    private ScriptedServer two;
+    private TestGateway gateway;
+
+    @BeforeMethod
+    public void start() throws IOException {
+        script = new ScriptedServer.Script();
+        one = new ScriptedServer(script);
+        two = new ScriptedServer(script);
+        gateway = new TestGateway(one, two).configured();
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() throws IOException {
+        gateway.close();
+        one.close();
+        two.close();
+    }
+
+    private static String chunk(String data) {
+        return Integer.toHexString(data.length()) + "\r\n" + data + "\r\n";
+    }
+
+    private static ScriptedResponse broken(String... events) {
+        StringBuilder answer = new StringBuilder(EVENTS);
+        for (String event : events) {
+            answer.append(chunk(event));
+        }
+        return new ScriptedResponse(answer.toString(), AfterResponse.CLOSE);
+    }
+
+    private String post(String target) throws IOException {
+        try (RawCaller caller = new RawCaller(gateway.port)) {
+            caller.send(RawCaller.request("POST", target, "Connection: close\r\n", "body"));
+            return caller.readAll();
+        }
+    }
+
+    private static String answer(String status, String fields, String body) {
+        return "HTTP/1.1 " + status + "\r\n" + OWN + fields + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    @DataProvider
+    public Object[][] answersInPlaceOfTheRest() {
+        String plain = "Content-Type: text/plain\r\n";
+        String json = "Content-Type: application/json\r\n";
+        String[] kept = {
+            answer("500 Failed", plain, "oops"),
+            answer("500 Failed", EVENT_TYPE, "data: oops\n\n"),
+            answer("404 Not Found", plain, "oops\n\n"),
+            answer("302 Found", "Location: /oops\r\n", ""),
+            answer("503 Busy", "X-Not-Run: 1\r\n", "oops"),
+            answer("421 Other", "", "oops"),
+            answer("200 OK", plain, "oops\n\n"),
+            answer("200 OK", json, "{\"error\":\"oops\"}\n\n"),
+            answer("200 OK", "", "oops\n\n"),
+            answer("200 OK", plain, ""),
+            answer("200 OK", "", ""),
+            answer("206 Partial", EVENT_TYPE, SECOND.replace("b", "oops")),
+            answer("202 Accepted", EVENT_TYPE, SECOND.replace("b", "oops")),
+            answer("200 OK", EVENT_TYPE + "Content-Encoding: gzip\r\n", "oops\n\n"),
+            "HTTP/1.1 204 None\r\n" + OWN + "\r\n",
+            "HTTP/1.1 205 Reset\r\n" + OWN + "Content-Length: 0\r\n\r\n",
+            "HTTP/1.1 200 OK\r\n" + OWN + "Content-Type: text/html\r\n" + CHUNKED + chunk("oops\n\n") + FINAL_CHUNK,
+            "HTTP/1.1 103 Hints\r\n\r\n" + answer("500 Failed", plain, "oops"),
+            "oops\r\n\r\n",
+            FINAL_CHUNK,
+            chunk(SECOND) + FINAL_CHUNK,
+        };
+        String[] closed = {
+            "HTTP/1.1 200 OK\r\n" + OWN + plain + "\r\noops\n\n",
+            "HTTP/1.1 200 OK\r\n" + OWN + "\r\n",
+            "HTTP/1.0 200 OK\r\n" + OWN + plain + "\r\n",
+            UNFRAMED_EVENTS,
+            "HTTP/1.1 103 Hints\r\n\r\n",
+            "HTTP/1.1 200 OK\r\n" + OWN + EVENT_TYPE,
+            "HTTP/1.1 500 Failed\r\n" + OWN + plain + "\r\noops\n\n",
+            "oops",
+            "",
+        };
+        Object[][] cases = new Object[kept.length + closed.length][];
+        for (int i = 0; i < cases.length; i++) {
+            cases[i] = i < kept.length
+                    ? new Object[] {kept[i], AfterResponse.KEEP}
+                    : new Object[] {closed[i - kept.length], AfterResponse.CLOSE};
+        }
+        return cases;
+    }
+
+    // Guards against an error's text in the middle of a stream, and against a cut stream that ends as if it were
+    // complete.
+    @Test(dataProvider = "answersInPlaceOfTheRest")
+    public void nothing_but_the_rest_takes_the_place_of_the_rest(String second, AfterResponse end) throws IOException {
+        script.respondWith(broken(FIRST), new ScriptedResponse(second, end));
+        String response = post("/resume/1");
+        assertTrue(response.startsWith("HTTP/1.1 200 "), response);
+        assertTrue(response.endsWith(chunk(FIRST)), response);
+    }
+
+    // Guards against the same while the first server is only silent: it still has the rest.
+    @Test(dataProvider = "answersInPlaceOfTheRest")
+    public void a_silent_stream_is_not_given_up_for_another_answer(String second, AfterResponse end)
+            throws IOException {
+        script.respondWith(
+                new ScriptedResponse(EVENTS + chunk(FIRST) + "PAUSE" + chunk(SECOND) + FINAL_CHUNK, AfterResponse.KEEP),
+                new ScriptedResponse(second, end));
+        try (RawCaller caller = new RawCaller(gateway.port)) {
+            caller.send(RawCaller.request("POST", "/patient-resume/1", "Connection: close\r\n", "body"));
+            String begin = caller.readUntil("data: a");
+            Waiting.until(
+                    "the answer of the second server",
+                    () -> gateway.attemptsInFlight() == 1 && script.requests.size() == 2);
+            script.resume();
+            String response = begin + caller.readAll();
+            assertTrue(response.endsWith(chunk(FIRST) + chunk(SECOND) + FINAL_CHUNK), response);
+        }
+    }
+
+    @DataProvider
+    public Object[][] rests() {
+        return new Object[][] {
+            {REST.bytes()},
+            {"HTTP/1.1 103 Hints\r\n\r\n" + REST.bytes()},
+            {REST.bytes().replace("text/event-stream", "Text/Event-Stream; charset=utf-8")},
+            {answer("200 OK", EVENT_TYPE, SECOND)},
+            {REST.bytes().replace(chunk(SECOND), chunk(FIRST) + chunk(SECOND))},
+        };
+    }
+
+    @Test(dataProvider = "rests")
+    public void the_rest_is_accepted_in_another_framing_and_from_an_earlier_event(String rest) throws IOException {
+        script.respondWith(broken(FIRST), new ScriptedResponse(rest, AfterResponse.KEEP));
+        String response = post("/resume/1");
+        assertTrue(response.endsWith(chunk(FIRST) + chunk(SECOND) + FINAL_CHUNK), response);
+    }
+}
