Do not begin a stream again that has no event ids

Callers got the events of a resumable stream twice. If the stream broke off after events without ids, the retry carried no Last-Event-Id, so the next server began at the first event, and its events followed those that the caller had.

Evidence: without the fix, BrokenStreamTest.a_stream_without_ids_is_not_begun_again fails at line 198 with '9\r\ndata: a\n\n\r\n9\r\ndata: a\n\n\r\n9\r\ndata: b' and a final chunk.

Once an event with data and without an id was written, and no id before it, no other attempt is made: a broken stream is cut, and a silent server keeps it. A comment is no event, so a stream that has sent only comments still goes on elsewhere.

An event without id after one with an id may still come twice: the next server is asked for what follows the last id.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/request/EventSplitter.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/request/EventSplitter.java
@@ -14,14 +14,16 @@
     static final int MAX_EVENT_BYTES = 64 * 1024;
 
     private static final String ID_FIELD = "id:";
+    private static final String DATA_FIELD = "data";
 
     /**
      * A complete event.
      *
      * @param id empty if the event has none
+     * @param hasData whether the event reaches the caller's program, unlike one of comments only
      * @param bytes the event, including the empty line that terminates it
      */
-    public record Event(String id, byte[] bytes) {}
+    public record Event(String id, boolean hasData, byte[] bytes) {}
 
     private final ByteArrayOutputStream partial = new ByteArrayOutputStream();
     private final EventBoundary boundary = new EventBoundary();
@@ -55,11 +57,13 @@
         byte[] bytes = partial.toByteArray();
         partial.reset();
         String id = "";
+        boolean hasData = false;
         for (String line : new String(bytes, StandardCharsets.UTF_8).split("\r?\n")) {
             if (line.startsWith(ID_FIELD)) {
                 id = line.substring(ID_FIELD.length()).strip();
             }
+            hasData |= line.startsWith(DATA_FIELD);
         }
-        return new Event(id, bytes);
+        return new Event(id, hasData, bytes);
     }
 }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Exchange.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Exchange.java
@@ -214,8 +214,8 @@
             streamVersion.whenDecided(this::startAttempt);
             return;
         }
-        if (streamVersion.isUnknown()) {
-            perform(machine.onNoServer(), "stream_version_unknown");
+        if (streamVersion.isUnknown() || !relay.mayGoOnElsewhere()) {
+            perform(machine.onNoServer(), streamVersion.isUnknown() ? "stream_version_unknown" : "no_event_id");
             return;
         }
         Optional<String> blockingPart = crashes.blockingPart();
@@ -389,6 +389,9 @@
         if (!machine.maySendBesideOpenAttempt()) {
             return "no_attempts_left";
         }
+        if (!relay.mayGoOnElsewhere()) {
+            return "no_event_id";
+        }
         if (streamVersion.isUndecided() || streamVersion.isUnknown()) {
             return "stream_version_unknown";
         }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ResponseRelay.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ResponseRelay.java
@@ -32,6 +32,7 @@
     private HttpHeaders headers = new DefaultHttpHeaders();
     private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
     private String lastEventId = "";
+    private boolean hasDataWithoutId;
     private boolean streaming;
     private boolean started;
     private boolean holdsCompleteResponse;
@@ -125,6 +126,7 @@
             }
             lastEventId = event.id();
         }
+        hasDataWithoutId |= lastEventId.isEmpty() && event.hasData();
         startResponse();
         sink.write(Unpooled.wrappedBuffer(event.bytes()));
         return true;
@@ -188,6 +190,11 @@
         return status.code();
     }
 
+    /** Returns whether another server can provide the rest of the response. One that is given no event's id begins again. */
+    boolean mayGoOnElsewhere() {
+        return !lastEventId.isEmpty() || !hasDataWithoutId;
+    }
+
     /** Returns the id of the last event written to the caller; empty if there is none. */
     String lastEventId() {
         return started ? lastEventId : "";
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/BrokenStreamTest.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/BrokenStreamTest.java
@@ -1,5 +1,6 @@
 package org.agatehatch.gateway;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
@@ -162,4 +163,45 @@
         String response = post("/resume/1");
         assertTrue(response.endsWith(chunk(FIRST) + chunk(SECOND) + FINAL_CHUNK), response);
     }
+
+    // Guards against a stream that runs again from its start, since no event of it has an id to go on after.
+    @Test
+    public void a_stream_without_ids_is_not_begun_again() throws IOException {
+        script.respondWith(
+                broken("data: a\n\n"),
+                new ScriptedResponse(
+                        EVENTS + chunk("data: a\n\n") + chunk("data: b\n\n") + FINAL_CHUNK, AfterResponse.KEEP));
+        String response = post("/resume/1");
+        assertTrue(response.endsWith(chunk("data: a\n\n")), response);
+        assertEquals(script.requests.size(), 1, "sends");
+    }
+
+    @Test
+    public void a_stream_that_was_silent_before_its_first_id_is_not_begun_again() throws IOException {
+        script.respondWith(
+                new ScriptedResponse(
+                        EVENTS + chunk("data: a\n\n") + "PAUSE" + chunk("data: b\n\n") + FINAL_CHUNK,
+                        AfterResponse.KEEP),
+                new ScriptedResponse(EVENTS + chunk("data: a\n\n") + FINAL_CHUNK, AfterResponse.KEEP));
+        try (RawCaller caller = new RawCaller(gateway.port)) {
+            caller.send(RawCaller.request("POST", "/patient-resume/1", "Connection: close\r\n", "body"));
+            String begin = caller.readUntil("data: a");
+            Waiting.until("the silence", () -> gateway.count("agatehatch_silent_attempts_total") > 0);
+            assertEquals(gateway.attemptsInFlight(), 1);
+            script.resume();
+            String response = begin + caller.readAll();
+            assertTrue(response.endsWith(chunk("data: a\n\n") + chunk("data: b\n\n") + FINAL_CHUNK), response);
+        }
+        assertEquals(script.requests.size(), 1, "sends");
+    }
+
+    // A comment tells the caller nothing, so that the stream may still begin elsewhere.
+    @Test
+    public void a_stream_that_has_sent_only_comments_goes_on_elsewhere() throws IOException {
+        script.respondWith(
+                broken(": wait\n\n"),
+                new ScriptedResponse(EVENTS + chunk(FIRST) + chunk(SECOND) + FINAL_CHUNK, AfterResponse.KEEP));
+        String response = post("/resume/1");
+        assertTrue(response.endsWith(chunk(FIRST) + chunk(SECOND) + FINAL_CHUNK), response);
+    }
 }
