Deliver a stream once that begins again with ids that are no numbers

Callers got events twice when the next server began a broken stream again at its first event instead of after Last-Event-Id, and the ids were no numbers: of such ids only one equal to the last one was dropped. A stream that began again and ended before the last delivered event, also one with numbers, ended the caller's stream as complete.

Evidence: without the fix, BrokenStreamTest. a_stream_that_begins_again_with_ids_that_are_no_numbers_is_delivered_once fails at line 185 with 'data: a in ...', which shows the events x, q, k and again x, q.

If a later attempt begins with the stream's first id, its events are dropped up to the last delivered id, with those between them that have no id. An attempt that ends before it has reached that id is broken. The first attempt is not affected, so that a server may use an id twice.

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
@@ -431,7 +431,7 @@
             return;
         }
         if (!exchange.relay().onEnd()) {
-            end(AttemptEnd.BROKEN, "stream ended in the middle of an event");
+            end(AttemptEnd.BROKEN, "stream ended within an event, or before the last one that was delivered");
             return;
         }
         boolean failed = exchange.relay().status() >= FIRST_SERVER_ERROR_STATUS;
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ResponseRelay.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ResponseRelay.java
@@ -31,7 +31,10 @@
     private HttpResponseStatus status = HttpResponseStatus.OK;
     private HttpHeaders headers = new DefaultHttpHeaders();
     private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+    private String firstEventId = "";
     private String lastEventId = "";
+    private boolean mayBeginAgain;
+    private boolean repeating;
     private boolean hasDataWithoutId;
     private boolean streaming;
     private boolean started;
@@ -69,6 +72,8 @@
     /** Starts the response of an attempt. Once a stream to the caller has started, heads of later attempts are ignored. */
     void onHead(HttpResponse response, boolean stream) {
         streaming = stream;
+        repeating = false;
+        mayBeginAgain = started;
         splitter = new EventSplitter();
         boundary = new EventBoundary();
         events = isEventStream(response);
@@ -120,10 +125,11 @@
     }
 
     private boolean relayEvent(EventSplitter.Event event) {
+        if (isRepeated(event.id())) {
+            return false;
+        }
         if (!event.id().isEmpty()) {
-            if (!lastEventId.isEmpty() && !isAfter(event.id(), lastEventId)) {
-                return false;
-            }
+            firstEventId = firstEventId.isEmpty() ? event.id() : firstEventId;
             lastEventId = event.id();
         }
         hasDataWithoutId |= lastEventId.isEmpty() && event.hasData();
@@ -132,12 +138,32 @@
         return true;
     }
 
-    /** Numeric ids increase within a stream; other ids only have to differ from the last one. */
-    private static boolean isAfter(String id, String last) {
+    /**
+     * Returns whether an event was written to the caller before. A server may begin again at an earlier event than asked for.
+     * Numeric ids increase within a stream. Other ids have no order: if a later attempt begins with the stream's first one, it
+     * repeats all events up to the last one.
+     */
+    private boolean isRepeated(String id) {
+        if (id.isEmpty() || lastEventId.isEmpty()) {
+            return repeating;
+        }
+        if (id.equals(lastEventId)) {
+            repeating = false;
+            return true;
+        }
+        repeating = isNumber(id) && isNumber(lastEventId)
+                ? Long.parseLong(id) < Long.parseLong(lastEventId)
+                : repeating || (mayBeginAgain && id.equals(firstEventId));
+        mayBeginAgain = false;
+        return repeating;
+    }
+
+    private static boolean isNumber(String id) {
         try {
-            return Long.parseLong(id) > Long.parseLong(last);
+            Long.parseLong(id);
+            return true;
         } catch (NumberFormatException e) {
-            return !id.equals(last);
+            return false;
         }
     }
 
@@ -159,9 +185,9 @@
         return streaming && resumable ? splitter.holdsPartialEvent() : events && boundary.withinEvent();
     }
 
-    /** Records the end of the server's response. Returns false if a stream ended within an event. */
+    /** Records the end of the server's response. Returns false if a stream ended within an event, or before the last one. */
     boolean onEnd() {
-        if (endsWithinEvent()) {
+        if (endsWithinEvent() || repeating) {
             return false;
         }
         holdsCompleteResponse = true;
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/BrokenStreamTest.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/BrokenStreamTest.java
@@ -66,6 +66,10 @@
         }
     }
 
+    private static int count(String text, String part) {
+        return text.split(part, -1).length - 1;
+    }
+
     private static String answer(String status, String fields, String body) {
         return "HTTP/1.1 " + status + "\r\n" + OWN + fields + "Content-Length: " + body.length() + "\r\n\r\n" + body;
     }
@@ -164,6 +168,52 @@
         assertTrue(response.endsWith(chunk(FIRST) + chunk(SECOND) + FINAL_CHUNK), response);
     }
 
+    // Guards against events that reach the caller twice because the next server begins again at the first one.
+    @Test
+    public void a_stream_that_begins_again_with_ids_that_are_no_numbers_is_delivered_once() throws IOException {
+        String[] events = {"id: x\ndata: a\n\n", "id: q\ndata: b\n\n", "id: k\ndata: c\n\n", "id: z\ndata: d\n\n"};
+        script.respondWith(
+                broken(events[0], events[1], events[2]),
+                new ScriptedResponse(
+                        EVENTS + chunk(String.join("data: no id\n\n", events)) + FINAL_CHUNK, AfterResponse.KEEP));
+        String response = post("/resume/1");
+        assertEquals(ScriptedServer.header(script.requests.get(1), "last-event-id"), "k");
+        for (String data : new String[] {"data: a", "data: b", "data: c", "data: d", "data: no id"}) {
+            assertEquals(count(response, data), 1, data + " in " + response);
+        }
+        assertTrue(response.endsWith(FINAL_CHUNK), response);
+    }
+
+    @DataProvider
+    public Object[][] streamsThatEndBeforeTheLastEvent() {
+        return new Object[][] {
+            {"id: x\ndata: a\n\n", "id: q\ndata: b\n\n", "id: k\ndata: c\n\n"},
+            {"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"},
+        };
+    }
+
+    // Guards against the end of a stream that did not get as far as the one that broke off.
+    @Test(dataProvider = "streamsThatEndBeforeTheLastEvent")
+    public void a_stream_that_begins_again_and_ends_early_is_not_complete(String first, String second, String third)
+            throws IOException {
+        script.respondWith(
+                broken(first, second, third),
+                new ScriptedResponse(EVENTS + chunk(first) + chunk(second) + FINAL_CHUNK, AfterResponse.KEEP));
+        String response = post("/resume/1");
+        assertTrue(response.endsWith(chunk(first) + chunk(second) + chunk(third)), response);
+    }
+
+    // Guards against events that are lost because their server uses an id twice.
+    @Test
+    public void a_stream_whose_server_uses_ids_again_is_delivered_whole() throws IOException {
+        String events = "id: x\ndata: a\n\nid: q\ndata: b\n\nid: x\ndata: c\n\nid: q\ndata: d\n\n";
+        script.respondWith(new ScriptedResponse(EVENTS + chunk(events) + FINAL_CHUNK, AfterResponse.KEEP));
+        String response = post("/resume/1");
+        for (String data : new String[] {"data: a", "data: b", "data: c", "data: d"}) {
+            assertEquals(count(response, data), 1, data + " in " + response);
+        }
+    }
+
     // Guards against a stream that runs again from its start, since no event of it has an id to go on after.
     @Test
     public void a_stream_without_ids_is_not_begun_again() throws IOException {
