End an event stream before the head of another response

Callers found the whole head of an error in the middle of their stream. A server that fails within its own event stream may write the error's response there, head included: without a length and chunks, or within the length or the chunk, its bytes count as body. In a resumable stream the head's fields up to the empty line passed for an event; in others all bytes were relayed.

A line that begins with 'HTTP/1.' is no field of an event. EventBoundary notices it at the start of a line, also across chunks. What came before it is relayed, and the attempt ends as broken: a resumable stream goes on at another server, any other is cut. Text in an event's data is not affected. An error's text without a head is an event or part of one and can't be told from the stream.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/request/EventSplitter.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/request/EventSplitter.java
@@ -29,7 +29,7 @@
     private final EventBoundary boundary = new EventBoundary();
 
     /**
-     * Adds bytes and returns the events that they complete.
+     * Adds bytes and returns the events that they complete. Nothing after the beginning of a status line counts as an event.
      *
      * @throws IllegalStateException if an incomplete event exceeds {@link #MAX_EVENT_BYTES}
      */
@@ -37,7 +37,7 @@
         List<Event> complete = new ArrayList<>();
         for (byte b : bytes) {
             partial.write(b);
-            if (boundary.add(b)) {
+            if (boundary.add(b) && !boundary.hasStatusLine()) {
                 complete.add(takeEvent());
             }
         }
@@ -53,6 +53,11 @@
         return partial.size() > 0;
     }
 
+    /** Returns whether a line began like the head of an HTTP response. */
+    public boolean hasStatusLine() {
+        return boundary.hasStatusLine();
+    }
+
     private Event takeEvent() {
         byte[] bytes = partial.toByteArray();
         partial.reset();
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/request/EventSplitterTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/request/EventSplitterTest.java
@@ -32,6 +32,23 @@
         }
     }
 
+    // Guards against the head of an error's response that is relayed as an event, and against the same text in an
+    // event's
+    // data that is taken for one.
+    @Test
+    public void a_status_line_is_noticed_at_every_chunk_boundary_and_only_at_the_start_of_a_line() {
+        String sound = STREAM + "data: HTTP/1.1 500\nHTTP: HTTP/1.1\ndata\n HTTP/1.1\n\n";
+        String all = sound + "HTTP/1.1 500 Failed\r\n\r\ndata: oops\n\n";
+        for (int cut = 0; cut <= all.length(); cut++) {
+            EventSplitter splitter = new EventSplitter();
+            List<EventSplitter.Event> events = new ArrayList<>(splitter.add(bytes(all.substring(0, cut))));
+            assertEquals(splitter.hasStatusLine(), cut >= sound.length() + "HTTP/1.".length());
+            events.addAll(splitter.add(bytes(all.substring(cut))));
+            assertTrue(splitter.hasStatusLine());
+            assertEquals(events.stream().map(EventSplitter.Event::id).toList(), List.of("1", "2", "", "3", ""));
+        }
+    }
+
     @Test
     public void an_incomplete_event_is_buffered() {
         EventSplitter splitter = new EventSplitter();
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
@@ -238,9 +238,8 @@
             declaredEnd = Optional.of(terms.misdirected() ? AttemptEnd.MISDIRECTED : AttemptEnd.REFUSED);
             return Disposition.ACCEPT;
         }
-        boolean success = status < FIRST_REDIRECT_STATUS;
-        successful = success;
-        if (success && !terms.sealed()) {
+        successful = status < FIRST_REDIRECT_STATUS;
+        if (successful && !terms.sealed()) {
             abort(AttemptEnd.BROKEN, "success response without the server's signature");
             return Disposition.ACCEPT;
         }
@@ -248,7 +247,7 @@
             abort(AttemptEnd.BROKEN, "status " + status + " in place of the rest of the stream");
             return Disposition.ACCEPT;
         }
-        stream = success && exchange.route().streaming();
+        stream = successful && exchange.route().streaming();
         if (exchange.isSuccessor(this)) {
             held = Optional.of(new HeldResponse(head, stream));
         } else {
@@ -302,6 +301,14 @@
         if (sinceFirstByteMillis() >= CrashingPartDetector.SURVIVAL_MILLIS) {
             recordSurvival();
         }
+        relayOrHold(content);
+        if (held.map(HeldResponse::holdsStatusLine)
+                .orElseGet(() -> exchange.relay().holdsStatusLine())) {
+            abort(AttemptEnd.BROKEN, "head of another response within the stream");
+        }
+    }
+
+    private void relayOrHold(ByteBuf content) {
         if (held.isPresent()) {
             if (held.get().add(content)) {
                 exchange.onDelivery(this);
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/HeldResponse.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/HeldResponse.java
@@ -46,6 +46,11 @@
         return events && boundary.withinEvent();
     }
 
+    /** Returns whether an event stream contains the head of another response. */
+    boolean holdsStatusLine() {
+        return events && boundary.hasStatusLine();
+    }
+
     int status() {
         return head.status().code();
     }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ResponseRelay.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ResponseRelay.java
@@ -107,13 +107,12 @@
             return false;
         }
         if (!resumable) {
-            startResponse();
-            chunk.forEachByte(next -> {
-                boundary.add(next);
-                return true;
-            });
-            sink.write(chunk.retainedDuplicate());
-            return true;
+            int length = lengthBeforeStatusLine(chunk);
+            if (length > 0) {
+                startResponse();
+                sink.write(chunk.retainedSlice(chunk.readerIndex(), length));
+            }
+            return length > 0;
         }
         byte[] bytes = new byte[chunk.readableBytes()];
         chunk.readBytes(bytes);
@@ -124,6 +123,19 @@
         return written;
     }
 
+    /** Returns the number of bytes before the line that begins like the head of another response; all if there is none. */
+    private int lengthBeforeStatusLine(ByteBuf chunk) {
+        int found = chunk.forEachByte(next -> {
+            boundary.add(next);
+            return !holdsStatusLine();
+        });
+        if (found < 0) {
+            return chunk.readableBytes();
+        }
+        int lineEnd = chunk.forEachByteDesc(chunk.readerIndex(), found - chunk.readerIndex(), next -> next != '\n');
+        return lineEnd < 0 ? 0 : lineEnd + 1 - chunk.readerIndex();
+    }
+
     private boolean relayEvent(EventSplitter.Event event) {
         if (isRepeated(event.id())) {
             return false;
@@ -185,6 +197,11 @@
         return streaming && resumable ? splitter.holdsPartialEvent() : events && boundary.withinEvent();
     }
 
+    /** Returns whether an event stream contains the head of another response, as a server may write that fails. */
+    boolean holdsStatusLine() {
+        return streaming && resumable ? splitter.hasStatusLine() : events && boundary.hasStatusLine();
+    }
+
     /** Records the end of the server's response. Returns false if a stream ended within an event, or before the last one. */
     boolean onEnd() {
         if (endsWithinEvent() || repeating) {
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/BrokenStreamTest.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/BrokenStreamTest.java
@@ -1,6 +1,7 @@
 package org.agatehatch.gateway;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
@@ -24,6 +25,8 @@
     private static final String FIRST = "id: 1\ndata: a\n\n";
     private static final String SECOND = "id: 2\ndata: b\n\n";
     private static final String FINAL_CHUNK = "0\r\n\r\n";
+    private static final String ERROR_HEAD =
+            "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\n";
     private static final ScriptedResponse REST =
             new ScriptedResponse(EVENTS + chunk(SECOND) + FINAL_CHUNK, AfterResponse.KEEP);
 
@@ -254,4 +257,44 @@
         String response = post("/resume/1");
         assertTrue(response.endsWith(chunk(FIRST) + chunk(SECOND) + FINAL_CHUNK), response);
     }
+
+    @DataProvider
+    public Object[][] bytesThatAreNoEvents() {
+        return new Object[][] {
+            {EVENTS + chunk(FIRST) + ERROR_HEAD + "oops"},
+            {EVENTS + chunk(FIRST) + "oops\r\n" + FINAL_CHUNK},
+            {EVENTS + chunk(FIRST) + "Bad oops\r\n" + "oops\n\n".repeat(600)},
+            {EVENTS + chunk(FIRST) + "e oops\r\ndata: oops\n\n--\r\n" + FINAL_CHUNK},
+            {EVENTS + "f\r\n" + FIRST + "oops\r\n" + FINAL_CHUNK},
+            {EVENTS + "f\r\n" + FIRST + ERROR_HEAD + "oops"},
+            {EVENTS + chunk(FIRST) + chunk(ERROR_HEAD) + chunk("oops\n\n") + FINAL_CHUNK},
+            {EVENTS + chunk(FIRST) + "1000\r\n" + ERROR_HEAD + "oops"},
+            {UNFRAMED_EVENTS + FIRST + ERROR_HEAD + "oops"},
+            {UNFRAMED_EVENTS + FIRST + ERROR_HEAD + "oops\n\n"},
+            {UNFRAMED_EVENTS + FIRST + "PAUSE" + ERROR_HEAD + "oops\n\n"},
+            {EVENTS.replace(CHUNKED, "Content-Length: 1000\r\n\r\n") + FIRST + ERROR_HEAD + "oops\n\n"},
+        };
+    }
+
+    // Guards against an error that the first server writes into its own stream with its head, or without.
+    @Test(dataProvider = "bytesThatAreNoEvents")
+    public void a_resumable_stream_goes_on_elsewhere_after_bytes_that_are_no_events(String first) throws IOException {
+        script.resume();
+        script.respondWith(new ScriptedResponse(first, AfterResponse.CLOSE), REST);
+        String response = post("/resume/1");
+        assertTrue(response.endsWith(chunk(FIRST) + chunk(SECOND) + FINAL_CHUNK), response);
+        assertFalse(response.contains("oops") || response.contains("500"), response);
+    }
+
+    // Guards against the same where no other server may go on.
+    @Test(dataProvider = "bytesThatAreNoEvents")
+    public void a_stream_is_cut_before_bytes_that_are_no_events(String first) throws IOException {
+        script.resume();
+        script.respondWith(new ScriptedResponse(first, AfterResponse.CLOSE));
+        String response = post("/stream/1");
+        assertTrue(response.startsWith("HTTP/1.1 "), response);
+        assertFalse(response.endsWith(FINAL_CHUNK), response);
+        assertFalse(response.contains("oops") || response.contains("Internal Server"), response);
+        assertEquals(script.requests.size(), 1, "sends");
+    }
 }
