--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Attempt.java
@@ -238,17 +238,16 @@
             declaredEnd = Optional.of(terms.misdirected() ? AttemptEnd.MISDIRECTED : AttemptEnd.REFUSED);
             return Disposition.ACCEPT;
         }
-        boolean success = status < FIRST_REDIRECT_STATUS;
-        successful = success;
-        if (success && !terms.sealed()) {
+        successful = status < FIRST_REDIRECT_STATUS;
+        if (successful && !terms.sealed()) {
             abort(AttemptEnd.BROKEN, "success response without the server's signature");
             return Disposition.ACCEPT;
         }
-        if (exchange.relay().started() && !success) {
+        if (exchange.relay().started() && !exchange.relay().isContinuedBy(head)) {
             abort(AttemptEnd.BROKEN, "status " + status + " in place of the rest of the stream");
             return Disposition.ACCEPT;
         }
-        stream = success && exchange.route().streaming();
+        stream = successful && exchange.route().streaming();
         if (exchange.isSuccessor(this)) {
             held = Optional.of(new HeldResponse(head, stream));
         } else {
@@ -302,6 +301,14 @@
         if (sinceFirstByteMillis() >= CrashingPartDetector.SURVIVAL_MILLIS) {
             recordSurvival();
         }
+        relayOrHold(content);
+        if (held.map(HeldResponse::holdsStatusLine)
+                .orElseGet(() -> exchange.relay().holdsStatusLine())) {
+            abort(AttemptEnd.BROKEN, "head of another response within the stream");
+        }
+    }
+
+    private void relayOrHold(ByteBuf content) {
         if (held.isPresent()) {
             if (held.get().add(content)) {
                 exchange.onDelivery(this);
@@ -431,7 +438,7 @@
             return;
         }
         if (!exchange.relay().onEnd()) {
-            end(AttemptEnd.BROKEN, "stream ended in the middle of an event");
+            end(AttemptEnd.BROKEN, "stream ended within an event, or before the last one that was delivered");
             return;
         }
         boolean failed = exchange.relay().status() >= FIRST_SERVER_ERROR_STATUS;
