Limit callers' connections by the platform's limit of descriptors

Callers saw no answer: on nodes that many callers use, requests were read a second and more after they had arrived, some after their callers had left, and were sent to servers then.

Cause: the number of connections that a node accepts follows from the operating system's limit of descriptors. On a platform that names the process's limit in its settings (limits.maxFds), that of the operating system can be far lower and need not apply to connections: 200 beside 8192, from which 44 connections followed. All further ones waited in the queue of the listening socket, and nothing was logged.

The number of connections now follows from limits.maxFds where the settings name it.

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/CallerMemory.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/CallerMemory.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
@@ -128,7 +129,17 @@
 
         /** Returns a quarter of the heap, and half of the descriptors that this process may still open. */
         public static Settings ofProcess() {
-            long free = ProcessDescriptors.free() - RESERVED_DESCRIPTORS;
+            return ofProcess(OptionalLong.empty());
+        }
+
+        /**
+         * Returns a quarter of the heap, and half of the descriptors that this process may still open.
+         *
+         * @param maxDescriptors limit that the platform names for the process. Where it does, the limit of the operating system is
+         *     not asked: it may not apply to connections.
+         */
+        public static Settings ofProcess(OptionalLong maxDescriptors) {
+            long free = ProcessDescriptors.free(maxDescriptors) - RESERVED_DESCRIPTORS;
             long connections = Math.max(MIN_CONNECTIONS, free / DESCRIPTORS_A_CALLER);
             return new Settings(
                     Runtime.getRuntime().maxMemory() / HEAP_SHARE, (int) Math.min(connections, Integer.MAX_VALUE));
