Refuse requests beyond the limit of connections at once

Callers saw nothing until their own time was over when a node had as many connections as it may have and all of them were in service: a new connection waited in the system's queue, where it is neither read nor seen, although another node could have served it.

16 further connections are now accepted, out of the reserve of descriptors. A request on one gets 503 with Retry-After (not run) and its connection closes, unless there is room by then. When even these are used, caller_accept_paused is logged and counted.

Before the change, CallerMemoryUsageTest.a_request_beyond_the_connections_in_service_is_refused_and_does_not_wait_unread failed with "SocketTimeout Read timed out".

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/CallerMemory.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/CallerMemory.java
@@ -22,7 +22,10 @@
         NO_MEMORY,
         /** The account is short, and the caller sent or read too slowly. */
         TOO_SLOW,
-        /** All descriptors for callers are used, and this connection had made no progress for the longest time. */
+        /**
+         * All descriptors for callers are used, and this connection was opened beyond them, or had made no progress for the longest
+         * time.
+         */
         NO_DESCRIPTOR
     }
 
@@ -42,6 +45,9 @@
 
         /** Called when the state changes; returns to {@link State#CALM} only below a quarter of the limit. */
         void onState(State state, long usedBytes, int connections);
+
+        /** Called when new connections at a port begin to wait in the system's queue. */
+        void onAcceptPaused(int connections, int maxConnections);
     }
 
     /** A connection as this account sees it. */
@@ -149,6 +155,9 @@
     /** Connections that each port accepts even if all are used, so that readiness checks reach a node that is flooded elsewhere. */
     static final int MIN_CONNECTIONS_A_PORT = 8;
 
+    /** Connections beyond the limit whose requests are refused, so that their callers do not wait. Taken from the reserve. */
+    static final int REFUSED_CONNECTIONS = 16;
+
     /** A connection that has made progress more recently is closed for memory only after the others. */
     static final long STALL_MILLIS = 1_000;
 
@@ -177,6 +186,9 @@
 
             @Override
             public void onState(State state, long usedBytes, int connections) {}
+
+            @Override
+            public void onAcceptPaused(int connections, int maxConnections) {}
         });
     }
 
@@ -213,7 +225,16 @@
                         isSilent(account, account.holder.hasBeenServed() ? STALL_MILLIS : FIRST_REQUEST_MILLIS))
                 .min(order);
         oldest.ifPresent(account -> evict(account, Reason.NO_DESCRIPTOR));
-        return accounts.size() < settings.maxConnections();
+        return accounts.size() < settings.maxConnections() + REFUSED_CONNECTIONS;
+    }
+
+    /** Returns whether more connections are open than may be served. */
+    boolean hasTooManyConnections() {
+        return accounts.size() > settings.maxConnections();
+    }
+
+    void acceptPaused() {
+        listener.onAcceptPaused(accounts.size(), settings.maxConnections());
     }
 
     void refused(Reason reason) {
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/CallerServer.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/CallerServer.java
@@ -9,7 +9,10 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
 import java.util.Set;
@@ -154,7 +157,11 @@
 
     /** Pauses accepting while memory or descriptors are used up. Connections wait in the system's queue meanwhile. */
     private void checkAccepting() {
-        serverChannel.config().setAutoRead(memory.mayAccept(connections.size()));
+        boolean accepts = memory.mayAccept(connections.size());
+        if (!accepts && serverChannel.config().isAutoRead()) {
+            memory.acceptPaused();
+        }
+        serverChannel.config().setAutoRead(accepts);
     }
 
     /** Stops accepting connections. */
@@ -164,6 +171,28 @@
         }
     }
 
+    private CallerConnection newConnection(Channel channel) {
+        boolean maySurpassLimit = connections.size() < CallerMemory.MIN_CONNECTIONS_A_PORT;
+        BooleanSupplier refuses = () -> !maySurpassLimit && memory.hasTooManyConnections();
+        return new CallerConnection(
+                channel,
+                (request, sink) -> refuses.getAsBoolean() ? refuse(sink) : handler.start(request, sink),
+                limits,
+                () -> refuses.getAsBoolean() || leaving.getAsBoolean(),
+                clock,
+                memory);
+    }
+
+    /** Refuses a request at once, because its caller would wait unread otherwise, and another node may serve it. */
+    private RequestHandler.InFlightRequest refuse(ResponseSink sink) {
+        memory.refused(CallerMemory.Reason.NO_DESCRIPTOR);
+        sink.respond(
+                HttpResponseStatus.SERVICE_UNAVAILABLE,
+                new DefaultHttpHeaders().set(HttpHeaderNames.RETRY_AFTER, RequestChecks.RETRY_AFTER_SECONDS),
+                new byte[0]);
+        return RequestHandler.ALREADY_ANSWERED;
+    }
+
     private final class Initializer extends ChannelInitializer<Channel> {
         @Override
         protected void initChannel(Channel channel) {
@@ -173,7 +202,7 @@
                     .setMaxHeaderSize(current.maxHeaderBytes())
                     .setMaxChunkSize(READ_CHUNK_BYTES)
                     .setChunkedSupported(true);
-            CallerConnection connection = new CallerConnection(channel, handler, limits, leaving, clock, memory);
+            CallerConnection connection = newConnection(channel);
             connections.add(connection);
             channel.closeFuture().addListener(closed -> connections.remove(connection));
             channel.pipeline().addLast(connection.gate());
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/RequestChecks.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/RequestChecks.java
@@ -11,7 +11,7 @@
 
 /** Checks of a request before it is served, and the response to one that is rejected. */
 final class RequestChecks {
-    private static final String RETRY_AFTER_SECONDS = "1";
+    static final String RETRY_AFTER_SECONDS = "1";
 
     private RequestChecks() {}
 
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/RequestHandler.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/RequestHandler.java
@@ -15,6 +15,18 @@
         void onProcessEnding();
     }
 
+    /** A request that was answered before its handling returned. */
+    InFlightRequest ALREADY_ANSWERED = new InFlightRequest() {
+        @Override
+        public void onCallerGone() {}
+
+        @Override
+        public void onWritabilityChanged(boolean writable) {}
+
+        @Override
+        public void onProcessEnding() {}
+    };
+
     /** Starts handling a request. The sink receives exactly one response or is aborted, unless the caller disconnects first. */
     InFlightRequest start(CallerRequest request, ResponseSink sink);
 }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/SimpleHttpServer.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/SimpleHttpServer.java
@@ -15,17 +15,6 @@
     /** A complete response. */
     public record Response(int status, String contentType, byte[] body) {}
 
-    private static final RequestHandler.InFlightRequest ALREADY_ANSWERED = new RequestHandler.InFlightRequest() {
-        @Override
-        public void onCallerGone() {}
-
-        @Override
-        public void onWritabilityChanged(boolean writable) {}
-
-        @Override
-        public void onProcessEnding() {}
-    };
-
     private final CallerServer server;
 
     /**
@@ -51,7 +40,7 @@
                 headers.set(HttpHeaderNames.CONTENT_TYPE, response.contentType());
             }
             sink.respond(HttpResponseStatus.valueOf(response.status()), headers, response.body());
-            return ALREADY_ANSWERED;
+            return RequestHandler.ALREADY_ANSWERED;
         });
     }
 
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/metrics/GatewayMetrics.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/metrics/GatewayMetrics.java
@@ -64,6 +64,9 @@
             "agatehatch_caller_refusals",
             "Requests refused and connections of callers closed, by reason: evicted, no_memory, too_slow or no_descriptor",
             "reason");
+    private final Counter callerAcceptPauses = counter(
+            "agatehatch_caller_accept_pauses",
+            "Times from which new connections of callers waited in the system's queue, because all that are allowed were used");
     private final Gauge callerMemoryBytes = gauge(
             "agatehatch_caller_memory_bytes", "Memory charged to callers' connections at the last change of state");
     private final Gauge callerConnections =
@@ -159,6 +162,11 @@
         callerRefusals.labelValues(reason).inc();
     }
 
+    /** Counts a time from which new connections of callers wait in the system's queue. */
+    public void callerAcceptPaused() {
+        callerAcceptPauses.inc();
+    }
+
     /** Records what callers' connections hold. */
     public void callerMemory(long bytes, int connections) {
         callerMemoryBytes.set(bytes);
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/CallerMemoryLog.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/CallerMemoryLog.java
@@ -3,6 +3,7 @@
 import java.util.EnumMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.agatehatch.api.time.MonotonicClock;
 import org.agatehatch.gateway.connection.CallerMemory;
@@ -19,6 +20,7 @@
 
     private final GatewayMetrics metrics;
     private final MonotonicClock clock;
+    private OptionalLong pausedNanos = OptionalLong.empty();
     private final Map<CallerMemory.State, Long> loggedNanos = new EnumMap<>(CallerMemory.State.class);
 
     CallerMemoryLog(GatewayMetrics metrics, MonotonicClock clock) {
@@ -31,11 +33,25 @@
         metrics.callerRefused(reason.name().toLowerCase(Locale.ROOT));
     }
 
+    @Override
+    public void onAcceptPaused(int connections, int maxConnections) {
+        metrics.callerAcceptPaused();
+        if (pausedNanos.isPresent() && isRecent(pausedNanos.getAsLong())) {
+            return;
+        }
+        pausedNanos = OptionalLong.of(clock.nanos());
+        log.info("event=caller_accept_paused connections={} max_connections={}", connections, maxConnections);
+    }
+
+    private boolean isRecent(long nanos) {
+        return clock.nanos() - nanos < TimeUnit.MILLISECONDS.toNanos(LINE_INTERVAL_MILLIS);
+    }
+
     @Override
     public void onState(CallerMemory.State state, long usedBytes, int connections) {
         metrics.callerMemory(usedBytes, connections);
         Long last = loggedNanos.get(state);
-        if (last != null && clock.nanos() - last < TimeUnit.MILLISECONDS.toNanos(LINE_INTERVAL_MILLIS)) {
+        if (last != null && isRecent(last)) {
             return;
         }
         loggedNanos.put(state, clock.nanos());
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/connection/CallerMemoryUsageTest.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/connection/CallerMemoryUsageTest.java
@@ -10,11 +10,13 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
@@ -38,6 +40,7 @@
     private final List<ResponseSink> sinks = new CopyOnWriteArrayList<>();
     private final List<Reason> refusals = new CopyOnWriteArrayList<>();
     private final AtomicLong nowNanos = new AtomicLong();
+    private final AtomicInteger acceptPauses = new AtomicInteger();
     private final AtomicBoolean callerGone = new AtomicBoolean();
     private MultiThreadIoEventLoopGroup group;
     private CallerMemory memory;
@@ -74,6 +77,11 @@
 
         @Override
         public void onState(State state, long usedBytes, int connections) {}
+
+        @Override
+        public void onAcceptPaused(int connections, int maxConnections) {
+            acceptPauses.incrementAndGet();
+        }
     }
 
     private final class UnansweredRequest implements RequestHandler.InFlightRequest {
@@ -235,6 +243,36 @@
         await("the release of all", () -> usedBytes() == 0);
     }
 
+    // Guards against callers that get no word until their time is over, because their connections wait unread and
+    // unseen.
+    @Test
+    public void a_request_beyond_the_connections_in_service_is_refused_and_does_not_wait_unread() throws IOException {
+        List<SlowCaller> open = new ArrayList<>();
+        for (int i = 0; i < MAX_CONNECTIONS; i++) {
+            SlowCaller caller = new SlowCaller(port);
+            caller.send(REQUEST);
+            open.add(caller);
+        }
+        await("the crowd", () -> sinks.size() == MAX_CONNECTIONS);
+        for (int i = 0; i < 2 * MAX_CONNECTIONS; i++) {
+            try (SlowCaller caller = new SlowCaller(port)) {
+                caller.send(REQUEST);
+                String response = caller.readAll().toLowerCase(Locale.ROOT);
+                assertTrue(response.startsWith("http/1.1 503 "), response);
+                assertTrue(response.contains("retry-after: 1\r\n"), response);
+            }
+        }
+        assertEquals(sinks.size(), MAX_CONNECTIONS);
+        for (int i = 0; i < CallerMemory.REFUSED_CONNECTIONS; i++) {
+            open.add(new SlowCaller(port));
+        }
+        await("the pause", () -> acceptPauses.get() > 0);
+        for (SlowCaller caller : open) {
+            caller.close();
+        }
+        await("the release of all", () -> usedBytes() == 0);
+    }
+
     // Guards against fields, sizes of chunks, or trailers that are wrongly refused in calm, and a charge that stays
     // behind.
     @Test
