Measure how long requests are read and when they are decided

A request that waits before it is read left no trace: took_ms begins when its head is complete. request_ended now has read_ms, and histograms hold the time to read a request, the time until the first choice of a server, and the lag of the event loop, which is also logged from 200 ms on.

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/CallerConnection.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/CallerConnection.java
@@ -47,9 +47,6 @@
     /** Objects of a connection without requests. */
     private static final int CONNECTION_BYTES = 4 * 1024;
 
-    /** Objects of a header field: an entry, a name and a value. */
-    private static final int FIELD_BYTES = 200;
-
     /**
      * Time for which the rest of a rejected request is read. Closing with unread data resets the connection, which discards a
      * response that the caller has not read. Two seconds cover some round trips and one retransmission.
@@ -67,18 +64,14 @@
     private final CallerMemory.Holder holder = new MemoryHolder();
     private final CallerMemory.Account account;
     private final ReadAheadGate gate = new ReadAheadGate(new GateReceiver());
-    private final ArrayDeque<WaitingRequest> pipelined = new ArrayDeque<>();
+    private final ArrayDeque<IncomingRequest.WaitingRequest> pipelined = new ArrayDeque<>();
     private Optional<RequestHandler.InFlightRequest> inFlight = Optional.empty();
-    private Optional<HttpRequest> incomingHead = Optional.empty();
-    private RequestBody body = new RequestBody(0);
-    private long headBytes;
-    private long structureBytes;
+    private final IncomingRequest incoming;
     private long pipelinedBytes;
     private long servingBytes;
     private boolean served;
     private final MinimumProgress progress;
     private int maxIncomingBodyBytes;
-    private long headReceivedNanos;
     private long lastActivityNanos;
     private long lastOutputNanos;
     private long unwrittenBytes;
@@ -104,6 +97,7 @@
         this.leaving = leaving;
         this.clock = clock;
         this.lastActivityNanos = clock.nanos();
+        this.incoming = new IncomingRequest(lastActivityNanos);
         this.progress = new MinimumProgress(lastActivityNanos);
         this.lastResponseWrite = channel.newSucceededFuture();
         this.memory = memory;
@@ -116,9 +110,6 @@
         return gate;
     }
 
-    /** Request that was read and waits for its turn, with the memory that it is charged. */
-    private record WaitingRequest(CallerRequest request, long chargedBytes) {}
-
     /**
      * Closes the connection if it exceeded the idle timeout, or the timeout for receiving a request's head. While the caller
      * still receives a response, only the idle timeout applies, to the time since it last accepted data.
@@ -164,7 +155,7 @@
 
     /** Returns the memory that this connection holds, with a request body of the given capacity. */
     private long heldBytes(int bodyCapacity) {
-        long requestBytes = structureBytes + headBytes + bodyCapacity + pipelinedBytes + servingBytes;
+        long requestBytes = incoming.heldBytes(bodyCapacity) + pipelinedBytes + servingBytes;
         return CONNECTION_BYTES + gate.waitingBytes() + requestBytes + pendingOutputBytes();
     }
 
@@ -174,11 +165,11 @@
     }
 
     private void updateCharge() {
-        account.charge(heldBytes(body.capacity()));
+        account.charge(heldBytes(incoming.body().capacity()));
     }
 
     private void evict(CallerMemory.Reason reason) {
-        boolean answerable = incomingHead.isPresent() && pendingOutputBytes() == 0;
+        boolean answerable = incoming.hasHead() && pendingOutputBytes() == 0;
         if (answerable && !closing && reason != CallerMemory.Reason.NO_DESCRIPTOR) {
             reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
         } else {
@@ -209,7 +200,7 @@
 
     /** Returns whether no request is being received or served. */
     boolean isIdle() {
-        return !responding && pipelined.isEmpty() && incomingHead.isEmpty();
+        return !responding && pipelined.isEmpty() && !incoming.hasHead();
     }
 
     /** Closes an idle connection once its last response is written. A busy one closes after its response if the node is leaving. */
@@ -287,7 +278,7 @@
         if (message instanceof HttpRequest head) {
             readHead(head);
         }
-        if (message instanceof HttpContent content && incomingHead.isPresent()) {
+        if (message instanceof HttpContent content && incoming.hasHead()) {
             readContent(content);
         }
     }
@@ -298,11 +289,7 @@
             return;
         }
         readingHead = false;
-        incomingHead = Optional.of(head);
-        headReceivedNanos = clock.nanos();
-        headBytes = structureBytes;
-        structureBytes = 0;
-        body = new RequestBody(HttpUtil.getContentLength(head, -1L));
+        incoming.begin(head, clock.nanos());
         maxIncomingBodyBytes = limits.get().maxBodyBytes();
         if (HttpUtil.getContentLength(head, 0L) > maxIncomingBodyBytes) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
@@ -318,27 +305,23 @@
         ByteBuf bytes = content.content();
         // A limit that is lowered meanwhile does not apply to a request whose head was accepted.
         maxIncomingBodyBytes = Math.max(maxIncomingBodyBytes, limits.get().maxBodyBytes());
-        if (body.length() + bytes.readableBytes() > maxIncomingBodyBytes) {
+        if (incoming.body().length() + bytes.readableBytes() > maxIncomingBodyBytes) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
         }
         if (bytes.isReadable()) {
-            // Lines of chunk sizes are not kept, unlike those of trailers, after which no data follows.
-            structureBytes = 0;
-            int capacity = body.capacityWith(bytes.readableBytes());
-            if (capacity > body.capacity() && !account.tryCharge(heldBytes(capacity))) {
+            incoming.dropStructure();
+            int capacity = incoming.body().capacityWith(bytes.readableBytes());
+            if (capacity > incoming.body().capacity() && !account.tryCharge(heldBytes(capacity))) {
                 refuseForMemory();
                 return;
             }
-            body.add(bytes);
+            incoming.add(bytes);
         }
         if (content instanceof LastHttpContent) {
-            byte[] whole = body.toArray();
-            long charged = headBytes + structureBytes + whole.length;
-            pipelined.add(new WaitingRequest(
-                    new CallerRequest(incomingHead.orElseThrow(), whole, headReceivedNanos), charged));
-            pipelinedBytes += charged;
-            forgetIncoming();
+            IncomingRequest.WaitingRequest complete = incoming.complete();
+            pipelined.add(complete);
+            pipelinedBytes += complete.chargedBytes();
             startNext();
         }
     }
@@ -348,13 +331,6 @@
         pipelinedBytes = 0;
     }
 
-    private void forgetIncoming() {
-        incomingHead = Optional.empty();
-        body = new RequestBody(0);
-        headBytes = 0;
-        structureBytes = 0;
-    }
-
     private void startNext() {
         if (responding) {
             return;
@@ -366,7 +342,7 @@
         if (memory.isShort() && !channel.isWritable()) {
             return;
         }
-        WaitingRequest next = pipelined.poll();
+        IncomingRequest.WaitingRequest next = pipelined.poll();
         pipelinedBytes -= next.chargedBytes();
         servingBytes = next.chargedBytes();
         CallerRequest request = next.request();
@@ -381,7 +357,7 @@
     /** Reads no more requests. The response with the given status follows those to the requests that were read before. */
     private void reject(HttpResponseStatus status) {
         closing = true;
-        forgetIncoming();
+        incoming.forget();
         updateCharge();
         rejection = Optional.of(status);
         startNext();
@@ -410,7 +386,7 @@
         @Override
         public boolean mayDecode() {
             if (pipelined.isEmpty()) {
-                return !responding || !memory.isShort() || headBytes + body.length() <= READ_AHEAD_BYTES;
+                return !responding || !memory.isShort() || incoming.receivedBytes() <= READ_AHEAD_BYTES;
             }
             return pipelined.size() < MAX_PIPELINED_REQUESTS && pipelinedBytes < READ_AHEAD_BYTES;
         }
@@ -422,7 +398,7 @@
 
         @Override
         public long missingBodyBytes() {
-            return body.missingBytes();
+            return incoming.body().missingBytes();
         }
 
         @Override
@@ -432,8 +408,8 @@
 
         @Override
         public boolean onStructureBytes(int bytes, int lines) {
-            structureBytes += 2L * bytes + (long) FIELD_BYTES * lines;
-            if (account.tryCharge(heldBytes(body.capacity()))) {
+            incoming.addStructure(bytes, lines, clock.nanos());
+            if (account.tryCharge(heldBytes(incoming.body().capacity()))) {
                 return true;
             }
             refuseForMemory();
@@ -454,11 +430,7 @@
 
         @Override
         public boolean isPartial() {
-            return incomingHead.isPresent()
-                    || structureBytes > 0
-                    || !pipelined.isEmpty()
-                    || gate.waitingBytes() > 0
-                    || pendingOutputBytes() > 0;
+            return incoming.hasBegun() || !pipelined.isEmpty() || gate.waitingBytes() > 0 || pendingOutputBytes() > 0;
         }
 
         @Override
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/metrics/GatewayMetrics.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/metrics/GatewayMetrics.java
@@ -90,6 +90,9 @@
     private final Gauge storeEra;
     private final Counter sentToLimitedServers;
     private final Histogram firstByteSeconds;
+    private final Histogram readSeconds;
+    private final Histogram decisionSeconds;
+    private final Histogram loopLagSeconds;
     private final Histogram requestSeconds;
 
     public GatewayMetrics() {
@@ -135,15 +138,24 @@
                 gauge("agatehatch_limited_servers", "Server processes that name a limit of requests per second");
         sentToLimitedServers =
                 counter("agatehatch_limited_server_sends", "Requests sent to server processes that name a limit");
-        firstByteSeconds = Histogram.builder()
-                .name("agatehatch_first_byte_seconds")
-                .help("Time from the send to the first byte of an answer's body")
-                .classicUpperBounds(LATENCY_BOUNDS_SECONDS)
-                .classicOnly()
-                .register(registry);
-        requestSeconds = Histogram.builder()
-                .name("agatehatch_request_seconds")
-                .help("Time from a request's arrival to the end of its answer")
+        firstByteSeconds =
+                latencies("agatehatch_first_byte_seconds", "Time from the send to the first byte of an answer's body");
+        requestSeconds =
+                latencies("agatehatch_request_seconds", "Time from a request's arrival to the end of its answer");
+        readSeconds = latencies(
+                "agatehatch_request_read_seconds",
+                "Time from the acceptance of a connection, or the begin of a later request on it, to the end of the head");
+        decisionSeconds = latencies(
+                "agatehatch_request_decision_seconds",
+                "Time from the end of a request's head to the first choice of a server");
+        loopLagSeconds = latencies(
+                "agatehatch_event_loop_lag_seconds", "Delay of a periodic task on the thread that handles requests");
+    }
+
+    private Histogram latencies(String name, String help) {
+        return Histogram.builder()
+                .name(name)
+                .help(help)
                 .classicUpperBounds(LATENCY_BOUNDS_SECONDS)
                 .classicOnly()
                 .register(registry);
@@ -173,9 +185,24 @@
         callerConnections.set(connections);
     }
 
-    /** Counts a request as in flight. */
-    public void requestStarted() {
+    /**
+     * Counts a request as in flight.
+     *
+     * @param readMillis time for which its head was received
+     */
+    public void requestStarted(long readMillis) {
         inFlight.inc();
+        readSeconds.observe(readMillis / MILLIS_PER_SECOND);
+    }
+
+    /** Records the first choice of a server for a request. */
+    public void requestDecided(long afterMillis) {
+        decisionSeconds.observe(afterMillis / MILLIS_PER_SECOND);
+    }
+
+    /** Records by how much a task on the thread that handles requests was late. */
+    public void eventLoopLate(long lateMillis) {
+        loopLagSeconds.observe(lateMillis / MILLIS_PER_SECOND);
     }
 
     /**
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
@@ -374,6 +374,11 @@
                     return exchange;
                 });
         listeners.callerAddress().ifPresent(callerServer::bind);
+        loop.scheduleWithFixedDelay(
+                new EventLoopLag(clock, metrics::eventLoopLate)::measure,
+                EventLoopLag.INTERVAL_MILLIS,
+                EventLoopLag.INTERVAL_MILLIS,
+                TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(
                 serverPool::evictUnusable,
                 POOL_EVICTION_INTERVAL_MILLIS,
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Exchange.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Exchange.java
@@ -77,12 +77,12 @@
                 new ServerWait(parts, () -> finished, this::startAttempt, this::refuseUnserved, this::patienceMillis);
         this.processCheck = new ProcessCheck(parts);
         this.streamVersion = new StreamVersion(processCheck);
-        this.selection = new ServerSelection(parts, this::chooseServer, this::patienceMillis);
+        this.selection = new ServerSelection(parts, request.arrivedNanos(), this::chooseServer, this::patienceMillis);
     }
 
     /** Starts processing the request. */
     public void start() {
-        context.metrics().requestStarted();
+        context.metrics().requestStarted(request.readMillis());
         config = context.config().config();
         if (!config.known()) {
             refuse("no_configuration", context.timeouts().modelLoadRetryAfterMillis());
@@ -482,6 +482,7 @@
                     config.version(),
                     machine == null ? 0 : machine.sendCount(),
                     machine != null && machine.mayHaveRun(),
+                    request.readMillis(),
                     tookMillis);
         }
     }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ExchangeLog.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ExchangeLog.java
@@ -59,9 +59,16 @@
     }
 
     /** Logs the end of the exchange, which may have come before its route was known. */
-    void requestEnded(String outcome, int status, long configVersion, int sends, boolean mayHaveRun, long tookMillis) {
+    void requestEnded(
+            String outcome,
+            int status,
+            long configVersion,
+            int sends,
+            boolean mayHaveRun,
+            long readMillis,
+            long tookMillis) {
         log.info(
-                "event=request_ended id={} route={} service={} config={} status={} outcome=\"{}\" sends={} may_have_run={} took_ms={}",
+                "event=request_ended id={} route={} service={} config={} status={} outcome=\"{}\" sends={} may_have_run={} read_ms={} took_ms={}",
                 exchange.metadata() == null ? "-" : exchange.metadata().attemptId(),
                 exchange.route() == null ? "-" : exchange.route().name(),
                 exchange.service(),
@@ -70,6 +77,7 @@
                 outcome,
                 sends,
                 mayHaveRun,
+                readMillis,
                 tookMillis);
     }
 }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ServerSelection.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/ServerSelection.java
@@ -18,21 +18,28 @@
     private static final int WAIT_DIVISOR = 4;
 
     private final ExchangeContext context;
+    private final long arrivedNanos;
     private final Function<Set<String>, ServerChoice> chooser;
     private final LongSupplier remainingMillis;
     private final Set<String> unpermittedServerIds = new HashSet<>();
+    private boolean selected;
     private boolean waits;
     private long retryAfterMillis;
 
     /**
      * Creates the selection for a request.
      *
+     * @param arrivedNanos when the request's head was complete
      * @param chooser chooses a server that is not among the given ids
      * @param remainingMillis time until the request's deadline
      */
     ServerSelection(
-            ExchangeContext context, Function<Set<String>, ServerChoice> chooser, LongSupplier remainingMillis) {
+            ExchangeContext context,
+            long arrivedNanos,
+            Function<Set<String>, ServerChoice> chooser,
+            LongSupplier remainingMillis) {
         this.context = context;
+        this.arrivedNanos = arrivedNanos;
         this.chooser = chooser;
         this.remainingMillis = remainingMillis;
     }
@@ -41,6 +48,12 @@
     void select(Consumer<ServerChoice> listener) {
         unpermittedServerIds.clear();
         waits = false;
+        if (!selected) {
+            selected = true;
+            context.metrics()
+                    .requestDecided(
+                            TimeUnit.NANOSECONDS.toMillis(context.clock().nanos() - arrivedNanos));
+        }
         choose(listener);
     }
 
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/connection/CallerServerTest.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/connection/CallerServerTest.java
@@ -25,23 +25,32 @@
 public final class CallerServerTest {
     private static final ClientLimits LIMITS = new ClientLimits(4_096, 1_000, 400, 1_000);
     private static final String REQUEST = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+    private static final int RESPONSE_BYTES = "HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\na".length();
     private static final byte[] LARGE_BODY = new byte[SlowCaller.LARGE_RESPONSE_BYTES];
 
+    private final List<CallerRequest> requests = new CopyOnWriteArrayList<>();
     private final List<ResponseSink> sinks = new CopyOnWriteArrayList<>();
     private final AtomicLong nowNanos = new AtomicLong();
     private MultiThreadIoEventLoopGroup group;
     private CallerServer server;
     private int port;
     private volatile boolean leaving;
+    private volatile boolean handlerFails;
     private volatile ClientLimits limits;
 
     @BeforeMethod
     public void start() {
+        requests.clear();
         sinks.clear();
         leaving = false;
+        handlerFails = false;
         limits = LIMITS;
         group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         server = new CallerServer(group, nowNanos::get, () -> limits, () -> leaving, (request, sink) -> {
+            if (handlerFails) {
+                throw new IllegalStateException("the request cannot be handled");
+            }
+            requests.add(request);
             sinks.add(sink);
             return new UnansweredRequest();
         });
@@ -214,6 +223,34 @@
         }
     }
 
+    // Guards against a connection that stays open for good after a request whose handling failed.
+    @Test
+    public void a_request_whose_handling_fails_ends_its_connection() throws IOException {
+        handlerFails = true;
+        try (SlowCaller caller = new SlowCaller(port)) {
+            caller.send(REQUEST);
+            assertEquals(caller.readAll(), "");
+        }
+    }
+
+    // Guards against a time to read a request that leaves out its wait after the connection was accepted, or counts
+    // idle time.
+    @Test
+    public void the_time_to_read_a_request_begins_with_its_connection_or_with_the_request() throws IOException {
+        try (SlowCaller caller = new SlowCaller(port)) {
+            await("the connection", server::hasConnections);
+            advanceAndCheckTimeouts(200);
+            caller.send(REQUEST);
+            respond(0, new byte[] {'a'});
+            caller.read(RESPONSE_BYTES);
+            advanceAndCheckTimeouts(300);
+            caller.send(REQUEST);
+            await("the second request", () -> sinks.size() == 2);
+            assertEquals(requests.get(0).readMillis(), 200);
+            assertEquals(requests.get(1).readMillis(), 0);
+        }
+    }
+
     private void advanceAndCheckTimeouts(long millis) {
         nowNanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(millis));
         onLoop(server::enforceTimeouts);
