Send no request whose caller had left before it was read

A server ran requests for nobody: a request that is read together with the end of its connection was sent, since the node reads the end only in the next turn of its event loop, and the attempt was cut right after.

A request now goes to its handler after the sockets were read once more. If that shows the end of the connection, the request is dropped. A handler that fails no longer runs inside a read, so its exception closes the connection explicitly.

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/CallerConnection.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/CallerConnection.java
@@ -26,6 +26,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.agatehatch.api.fleet.ClientLimits;
@@ -65,6 +66,9 @@
     private final CallerMemory.Account account;
     private final ReadAheadGate gate = new ReadAheadGate(new GateReceiver());
     private final ArrayDeque<IncomingRequest.WaitingRequest> pipelined = new ArrayDeque<>();
+    /** Request whose turn it is, before it is passed to the handler. */
+    private Optional<CallerRequest> starting = Optional.empty();
+
     private Optional<RequestHandler.InFlightRequest> inFlight = Optional.empty();
     private final IncomingRequest incoming;
     private long pipelinedBytes;
@@ -250,6 +254,7 @@
     public void channelInactive(ChannelHandlerContext context) {
         closing = true;
         account.close();
+        starting = Optional.empty();
         forgetPipelined();
         Optional<RequestHandler.InFlightRequest> abandoned = inFlight;
         inFlight = Optional.empty();
@@ -266,6 +271,10 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        fail(cause);
+    }
+
+    private void fail(Throwable cause) {
         log.debug("event=caller_connection_failed peer={} cause={}", channel.remoteAddress(), cause.toString());
         channel.close();
     }
@@ -345,12 +354,31 @@
         IncomingRequest.WaitingRequest next = pipelined.poll();
         pipelinedBytes -= next.chargedBytes();
         servingBytes = next.chargedBytes();
-        CallerRequest request = next.request();
         responding = true;
+        starting = Optional.of(next.request());
+        // What a task schedules runs after the sockets were read again, which shows the end of a connection whose
+        // caller left
+        // while its request waited to be read.
+        channel.eventLoop().execute(() -> channel.eventLoop().schedule(this::serveNext, 0, TimeUnit.NANOSECONDS));
+    }
+
+    /** Starts the next request, unless its caller has left. */
+    private void serveNext() {
+        Optional<CallerRequest> next = starting;
+        starting = Optional.empty();
+        next.ifPresent(this::serve);
+    }
+
+    private void serve(CallerRequest request) {
         Sink sink = new Sink(request);
-        RequestHandler.InFlightRequest work = handler.start(request, sink);
-        if (!sink.done) {
-            inFlight = Optional.of(work);
+        try {
+            RequestHandler.InFlightRequest work = handler.start(request, sink);
+            if (!sink.done) {
+                inFlight = Optional.of(work);
+            }
+        } catch (RuntimeException e) {
+            // Outside of a read, nobody else reports the failure, and the caller would wait for good.
+            fail(e);
         }
     }
 
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/RawCaller.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/RawCaller.java
@@ -28,6 +28,11 @@
         socket.getOutputStream().flush();
     }
 
+    /** Closes the caller's half of the connection. */
+    void endOutput() throws IOException {
+        socket.shutdownOutput();
+    }
+
     String readUntil(String text) throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         while (!bytes.toString(StandardCharsets.ISO_8859_1).contains(text)) {
