End a request of the daemon when its caller leaves while it waits

A request whose caller had left while it waited for a server was sent when one was free, and stayed known to the pool's dispatcher until then, since the end of a connection was noticed only from the first byte of the answer on.

CallerConnectionFlow tells the request that is being handled when its connection closes. RequestExecution then ends it if it waits for its claim or a server, and takes it out of the dispatcher. One that was sent goes on as before.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/request/RequestStateMachine.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/request/RequestStateMachine.java
@@ -257,6 +257,11 @@
         return stage == Stage.DONE;
     }
 
+    /** Returns whether the request waits for its claim or for a backend server. */
+    public boolean waiting() {
+        return stage == Stage.CLAIMING || stage == Stage.CHOOSING;
+    }
+
     private List<RequestAction> attemptFailed(Outcome outcome, long retryAfterMillis, long nowMillis) {
         attemptState.settle(outcome);
         assembler.orElseThrow().endAttempt();
--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/front/NodeHttpApi.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/front/NodeHttpApi.java
@@ -10,12 +10,14 @@
 import org.agatehatch.api.errors.Outcome;
 import org.agatehatch.api.time.MonotonicClock;
 import org.agatehatch.daemon.metrics.NodeMetrics;
+import org.agatehatch.daemon.traffic.CallerPresence;
 import org.agatehatch.daemon.traffic.CompletionHandler;
 import org.agatehatch.daemon.traffic.CompletionRequestReader;
 import org.agatehatch.daemon.traffic.ErrorResponses;
 import org.agatehatch.daemon.traffic.Failures;
 import org.agatehatch.daemon.traffic.ServiceHandler;
 import org.agatehatch.internal.request.IdempotencyKey;
+import org.apache.pekko.NotUsed;
 import org.apache.pekko.http.javadsl.model.ContentTypes;
 import org.apache.pekko.http.javadsl.model.HttpCharsets;
 import org.apache.pekko.http.javadsl.model.HttpHeader;
@@ -25,6 +27,7 @@
 import org.apache.pekko.http.javadsl.model.MediaTypes;
 import org.apache.pekko.http.scaladsl.model.EntityStreamSizeException;
 import org.apache.pekko.stream.Materializer;
+import org.apache.pekko.stream.javadsl.Flow;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -73,29 +76,34 @@
         this.materializer = materializer;
     }
 
+    /** Returns the handling of the requests of a connection, one after the other. */
+    public Flow<HttpRequest, HttpResponse, NotUsed> connection() {
+        return CallerConnectionFlow.of(this::handle);
+    }
+
     /** Handles one request. The stage never fails: failures become error responses. */
-    public CompletionStage<HttpResponse> handle(HttpRequest request) {
+    private CompletionStage<HttpResponse> handle(HttpRequest request, CallerPresence caller) {
         long arrivedNanos = clock.nanos();
         try {
-            return inFlight.track(
-                    () -> dispatch(request, arrivedNanos).exceptionally(failure -> errorResponse(request, failure)));
+            return inFlight.track(() ->
+                    dispatch(request, arrivedNanos, caller).exceptionally(failure -> errorResponse(request, failure)));
         } catch (RuntimeException e) {
             request.discardEntityBytes(materializer);
             return CompletableFuture.completedFuture(errorResponse(request, e));
         }
     }
 
-    private CompletionStage<HttpResponse> dispatch(HttpRequest request, long arrivedNanos) {
+    private CompletionStage<HttpResponse> dispatch(HttpRequest request, long arrivedNanos, CallerPresence caller) {
         String path = request.getUri().path();
         if (path.equals(CompletionRequestReader.CHAT_PATH) || path.equals(CompletionRequestReader.TEXT_PATH)) {
             requireServing();
             requirePost(request);
             Optional<IdempotencyKey> key = idempotencyKey(request);
-            return readBody(request).thenCompose(body -> completions.handle(path, body, key, arrivedNanos));
+            return readBody(request).thenCompose(body -> completions.handle(path, body, key, arrivedNanos, caller));
         }
         if (path.startsWith(SERVICES_PREFIX)) {
             requireServing();
-            return callService(request, path, arrivedNanos);
+            return callService(request, path, arrivedNanos, caller);
         }
         if (path.startsWith(ADMIN_PREFIX)) {
             return readBody(request)
@@ -128,7 +136,8 @@
         };
     }
 
-    private CompletionStage<HttpResponse> callService(HttpRequest request, String path, long arrivedNanos) {
+    private CompletionStage<HttpResponse> callService(
+            HttpRequest request, String path, long arrivedNanos, CallerPresence caller) {
         String rest = path.substring(SERVICES_PREFIX.length());
         int slash = rest.indexOf('/');
         String name = slash < 0 ? rest : rest.substring(0, slash);
@@ -136,7 +145,8 @@
         String query = request.getUri().rawQueryString().map(text -> "?" + text).orElse("");
         Optional<IdempotencyKey> key = idempotencyKey(request);
         return readBody(request)
-                .thenCompose(body -> services.handle(name, servicePath + query, request, body, key, arrivedNanos));
+                .thenCompose(
+                        body -> services.handle(name, servicePath + query, request, body, key, arrivedNanos, caller));
     }
 
     private CompletionStage<byte[]> readBody(HttpRequest request) {
--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/CompletionHandler.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/CompletionHandler.java
@@ -51,7 +51,7 @@
 
     /** Handles one request. Throws if the request is rejected before it is queued. */
     public CompletionStage<HttpResponse> handle(
-            String path, byte[] body, Optional<IdempotencyKey> key, long arrivedNanos) {
+            String path, byte[] body, Optional<IdempotencyKey> key, long arrivedNanos, CallerPresence caller) {
         CompletionRequest completion = CompletionRequestReader.read(path, body);
         RoutingView view = dependencies.view().get();
         ModelEntry entry = view.catalogue().models().get(completion.model());
@@ -87,6 +87,7 @@
                 dependencies.crashDetector(),
                 dependencies.clock(),
                 new RequestRecorder(context, dependencies));
+        caller.whenLeft(execution::onCallerLeft);
         return execution
                 .start()
                 .thenCompose(outputs -> completion.streaming()
--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/RequestExecution.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/RequestExecution.java
@@ -42,11 +42,13 @@
     private final MonotonicClock clock;
     private final RequestObserver observer;
     private final Set<String> triedServers = new HashSet<>();
+    private Optional<CompletableFuture<ChosenBackend>> choice = Optional.empty();
     private Optional<ChosenBackend> activeBackend = Optional.empty();
     private int responseStatus;
     private String responseContentType = "";
     private String runnerEpoch = "";
     private long sentAtMillis;
+    private boolean callerLeft;
     private boolean ended;
 
     RequestExecution(
@@ -73,12 +75,35 @@
     /** Starts the request. Completes when a backend server begins to respond or the request ends. */
     CompletionStage<Source<RequestOutput, NotUsed>> start() {
         return proceed(applyEvent(machine::start))
+                .thenApply(this::orCallerGone)
                 .thenApply(source -> source.watchTermination((ignored, done) -> {
                     done.whenComplete((finished, failure) -> onCallerGone());
                     return NotUsed.getInstance();
                 }));
     }
 
+    private synchronized Source<RequestOutput, NotUsed> orCallerGone(Source<RequestOutput, NotUsed> source) {
+        return callerLeft ? Source.single(new RequestOutput.Failure(RequestObserver.CALLER_GONE)) : source;
+    }
+
+    /** Ends the request if its caller has left before it is sent. One that was sent goes on until its answer begins. */
+    void onCallerLeft() {
+        List<RequestAction> actions;
+        Optional<CompletableFuture<ChosenBackend>> pending;
+        synchronized (this) {
+            if (!machine.waiting()) {
+                return;
+            }
+            callerLeft = true;
+            actions = machine.onCallerGone();
+            pending = choice;
+        }
+        perform(actions);
+        end(Optional.of(RequestObserver.CALLER_GONE));
+        // Takes the request out of the queue.
+        pending.ifPresent(waiting -> waiting.cancel(false));
+    }
+
     /** Emits the outputs of a step, followed by those of its next action. */
     private CompletionStage<Source<RequestOutput, NotUsed>> proceed(Step step) {
         Source<RequestOutput, NotUsed> now = Source.from(step.outputs());
@@ -90,13 +115,24 @@
 
     private CompletionStage<Source<RequestOutput, NotUsed>> performNext(RequestAction next) {
         if (next instanceof RequestAction.Choose choose) {
-            return chooser.choose(context, copyOfTriedServers(), machine.attemptState())
-                    .handle((chosen, failure) -> failure == null ? onChosen(chosen) : onNotChosen(failure))
+            return choose().handle((chosen, failure) -> failure == null ? onChosen(chosen) : onNotChosen(failure))
                     .thenCompose(stage -> stage);
         }
         return claims.claim().thenCompose(answer -> proceed(applyEvent(() -> machine.onClaimAnswer(answer))));
     }
 
+    private CompletableFuture<ChosenBackend> choose() {
+        CompletableFuture<ChosenBackend> chosen = chooser.choose(context, copyOfTriedServers(), machine.attemptState())
+                .toCompletableFuture();
+        synchronized (this) {
+            choice = Optional.of(chosen);
+            if (machine.done()) {
+                chosen.cancel(false);
+            }
+        }
+        return chosen;
+    }
+
     private Set<String> copyOfTriedServers() {
         synchronized (this) {
             return Set.copyOf(triedServers);
--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/ServiceHandler.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/traffic/ServiceHandler.java
@@ -92,7 +92,8 @@
             HttpRequest callerRequest,
             byte[] body,
             Optional<IdempotencyKey> key,
-            long arrivedNanos) {
+            long arrivedNanos,
+            CallerPresence caller) {
         RoutingView view = dependencies.view().get();
         ServiceEntry entry = view.catalogue().services().get(service);
         if (entry == null) {
@@ -130,6 +131,7 @@
                 dependencies.crashDetector(),
                 dependencies.clock(),
                 new RequestRecorder(context, dependencies));
+        caller.whenLeft(execution::onCallerLeft);
         return execution.start().thenCompose(outputs -> responses.buffered(outputs, headers::get, context.requestId()));
     }
 
--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/wiring/Node.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/wiring/Node.java
@@ -207,7 +207,7 @@
         NodeHttpApi api = callerApi(parts);
         return Http.get(system)
                 .newServerAt(settings.listenHost(), settings.listenPort())
-                .bind(api::handle)
+                .bindFlow(api.connection())
                 .thenApply(bound -> {
                     binding = bound;
                     return new NodeInfo(
--- a/agatehatch-daemon/src/test/java/org/agatehatch/daemon/traffic/RequestExecutionTest.java
+++ b/agatehatch-daemon/src/test/java/org/agatehatch/daemon/traffic/RequestExecutionTest.java
@@ -10,6 +10,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.agatehatch.api.catalogue.BackendServer;
@@ -20,6 +21,7 @@
 import org.agatehatch.internal.request.RequestSpec;
 import org.agatehatch.internal.request.RequestStateMachine;
 import org.agatehatch.internal.request.RetryBudget;
+import org.apache.pekko.NotUsed;
 import org.apache.pekko.actor.ActorSystem;
 import org.apache.pekko.stream.javadsl.Sink;
 import org.apache.pekko.stream.javadsl.Source;
@@ -75,6 +77,27 @@
         assertCompleteAtTheSecondServer(execution);
     }
 
+    /** Guards against a request that is sent to a server although its caller left while it waited for one. */
+    @Test
+    public void a_request_whose_caller_leaves_while_it_waits_is_not_sent() throws Exception {
+        CompletableFuture<ChosenBackend> waiting = new CompletableFuture<>();
+        List<String> sent = new ArrayList<>();
+        RequestExecution execution = execution((request, tried, state) -> waiting, (server, attempt, resumeFrom) -> {
+            sent.add(server.name());
+            return CompletableFuture.completedFuture(response(frame(attempt, 0, true)));
+        });
+        CompletionStage<Source<RequestOutput, NotUsed>> started = execution.start();
+        execution.onCallerLeft();
+        waiting.complete(backend("r0"));
+
+        List<RequestOutput> outputs = started.thenCompose(source -> source.runWith(Sink.seq(), system))
+                .toCompletableFuture()
+                .get(DEADLINE_MILLIS, TimeUnit.MILLISECONDS);
+        assertEquals(outputs, List.of(new RequestOutput.Failure(RequestObserver.CALLER_GONE)));
+        assertTrue(waiting.isCancelled());
+        assertEquals(sent, List.of());
+    }
+
     private void assertCompleteAtTheSecondServer(RequestExecution execution) throws Exception {
         List<RequestOutput> outputs = execution
                 .start()
@@ -87,6 +110,10 @@
     }
 
     private RequestExecution execution(AttemptSender sender) {
+        return execution(this::choose, sender);
+    }
+
+    private RequestExecution execution(BackendChooser chooser, AttemptSender sender) {
         long nowMillis = CLOCK.millis();
         RequestContext context = new RequestContext(
                 "req-1",
@@ -109,7 +136,7 @@
         return new RequestExecution(
                 context,
                 new RequestStateMachine(spec, new RetryBudget(10), new Random(7)),
-                this::choose,
+                chooser,
                 sender,
                 new EngineClient(system, system.settings().config()),
                 IdempotencyClaimsFactory.none(),
@@ -121,8 +148,12 @@
     private CompletableFuture<ChosenBackend> choose(RequestContext request, Set<String> tried, AttemptState state) {
         String name = "r" + triedByChoice.size();
         triedByChoice.add(tried);
+        return CompletableFuture.completedFuture(backend(name));
+    }
+
+    private static ChosenBackend backend(String name) {
         BackendServer server = new BackendServer(name, "127.0.0.1:1", name, "region", "pool", "owner", 1, 1_000, true);
-        return CompletableFuture.completedFuture(new ChosenBackend(server, new IgnoringAttemptObserver()));
+        return new ChosenBackend(server, new IgnoringAttemptObserver());
     }
 
     private static AttemptResponse response(ResponseFrame... frames) {
