--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/metrics/GatewayMetrics.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/metrics/GatewayMetrics.java
@@ -161,6 +161,7 @@
                 "Time from the end of a request's head to the first choice of a server");
         loopLagSeconds = latencies(
                 "agatehatch_event_loop_lag_seconds", "Delay of a periodic task on the thread that handles requests");
+        registerViews();
     }
 
     private Histogram latencies(String name, String help) {
@@ -170,7 +171,6 @@
                 .classicUpperBounds(LATENCY_BOUNDS_SECONDS)
                 .classicOnly()
                 .register(registry);
-        registerViews();
     }
 
     private void registerViews() {
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
@@ -115,6 +115,7 @@
     private final RelayedTopic configTopic;
     private final RelayedTopic serverTopic;
     private final TcpPeerTransport peerTransport;
+    private final ConfigUpdates configUpdates;
     private final TopicFollower configFollower;
     private final TopicFollower serverFollower;
     private final StoreViews storeViews;
@@ -178,17 +179,17 @@
         configTopic = newRelayedTopic(CONFIG_TOPIC, platform.configTopic(), Arrays::equals);
         serverTopic =
                 newRelayedTopic(SERVER_TOPIC, platform.serverTopic(), new SameServerCheck(platform.serverDecoder()));
+        peerBootstrap = new PeerStateBootstrap(
+                settings.otherSeedAddresses(), control, this::hasCompleteState, this::onPeerState);
+        configUpdates = new ConfigUpdates(
+                platform.configDecoder(), config, peerBootstrap::recordConfig, this::onStoreEra, clock);
         configFollower =
-                newFollower(CONFIG_TOPIC, configTopic, () -> TopicFollowerSettings.LONG_POLLING, new ConfigListener());
+                newFollower(CONFIG_TOPIC, configTopic, () -> TopicFollowerSettings.LONG_POLLING, configUpdates);
         registry = new BackendRegistry(
                 platform.serverDecoder(), control, this::sinceStoreRegainedMillis, softwareVersions, this::onFleet);
-        peerBootstrap = new PeerStateBootstrap(
-                settings.otherSeedAddresses(), control, this::hasCompleteState, this::onPeerState);
         serverFollower =
                 newFollower(SERVER_TOPIC, serverTopic, this::serverTopicTiming, peerBootstrap.recording(registry));
-        metrics.observeTopic(CONFIG_TOPIC, configFollower::viewAgeMillis, configFollower::failedReads);
-        metrics.observeTopic(SERVER_TOPIC, serverFollower::viewAgeMillis, serverFollower::failedReads);
-        metrics.observeConfig(() -> config.config().version());
+        exposeViews();
         storeViews = new StoreViews(configFollower, serverFollower, softwareVersions, clock);
         nodeGroup = new RelayedNodeGroup(platform.nodeGroup(), this::groupRelay, control::execute);
         membership = newMembership();
@@ -220,6 +221,12 @@
         shutdown = new GracefulShutdown(settings.shutdownGraceMillis(), clock, this::leaveGroup);
     }
 
+    private void exposeViews() {
+        metrics.observeTopic(CONFIG_TOPIC, configFollower::viewAgeMillis, configFollower::failedReads);
+        metrics.observeTopic(SERVER_TOPIC, serverFollower::viewAgeMillis, serverFollower::failedReads);
+        metrics.observeConfig(() -> config.config().version());
+    }
+
     private PlacementLease newPlacementLease() {
         return new PlacementLease(
                 settings.self(),
@@ -570,7 +577,7 @@
     }
 
     private void onPeerState(StateMessages.StoredState state) {
-        state.config().ifPresent(record -> onConfig(CONFIG_KEY, record));
+        state.config().ifPresent(record -> configUpdates.onValue(CONFIG_KEY, record));
         if (!registry.caughtUp() && !state.servers().isEmpty()) {
             state.servers().forEach((key, value) -> peerStateGuard.run(key, () -> registry.onValue(key, value)));
             serverFollower.addKnownKeys(state.servers().keySet());
@@ -578,40 +585,12 @@
         }
     }
 
-    private void onConfig(String key, byte[] value) {
-        long startNanos = clock.nanos();
-        try {
-            boolean accepted = platform.configDecoder()
-                    .apply(key, value)
-                    .map(config::updateIfNewer)
-                    .orElse(false);
-            if (accepted) {
-                log.info(
-                        "event=config_applied version={} bytes={} took_ms={}",
-                        config.config().version(),
-                        value.length,
-                        (clock.nanos() - startNanos) / 1_000_000);
-                peerBootstrap.recordConfig(value);
-            }
-        } catch (IllegalArgumentException e) {
-            log.error("event=config_unreadable key={} cause=\"{}\"", key, e.getMessage());
-        }
+    private void onStoreEra(long era) {
+        metrics.storeEra(era);
+        claim.onNewEra();
     }
 
     private long sinceStoreRegainedMillis() {
         return serverFollower.sinceRecoveryMillis();
     }
-
-    private final class ConfigListener implements TopicFollower.Listener {
-        @Override
-        public void onValue(String key, byte[] value) {
-            onConfig(key, value);
-        }
-
-        @Override
-        public void onNewEra(long era) {
-            metrics.storeEra(era);
-            claim.onNewEra();
-        }
-    }
 }
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Exchange.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/Exchange.java
@@ -96,8 +96,13 @@
         Optional<RouteSpec> found = routes.find(
                 request.head().headers().get(HttpHeaderNames.HOST, ""),
                 request.head().uri());
+        if (found.isEmpty() && !context.configViewRecent().getAsBoolean()) {
+            // The route may have been added since, and callers send nothing again after a 404.
+            refuse("route_not_known_yet", context.timeouts().modelLoadRetryAfterMillis());
+            return;
+        }
         if (found.isEmpty()) {
-            onNoRoute();
+            respondLocally(HttpResponseStatus.NOT_FOUND, "no_route", OptionalLong.empty());
             return;
         }
         route = found.get();
@@ -114,15 +119,6 @@
         startForwarding();
     }
 
-    private void onNoRoute() {
-        if (context.configViewRecent().getAsBoolean()) {
-            respondLocally(HttpResponseStatus.NOT_FOUND, "no_route", OptionalLong.empty());
-            return;
-        }
-        // The route may have been added since, and callers send nothing again after a 404.
-        refuse("route_not_known_yet", context.timeouts().modelLoadRetryAfterMillis());
-    }
-
     private void startForwarding() {
         service = TrafficSplit.pick(route.services(), context.random());
         machine = new ForwardingStateMachine(route, () -> context.retryBudget().tryTake(service));
@@ -461,7 +457,9 @@
 
     private void respondLocally(HttpResponseStatus status, String reason, OptionalLong retryAfterMillis) {
         HttpHeaders headers = new DefaultHttpHeaders();
-        retryAfterMillis.ifPresent(millis -> RetryAfter.write(headers, retryAfter(status, millis)));
+        long remainingMillis = machine == null ? Long.MAX_VALUE : remainingMillis();
+        retryAfterMillis.ifPresent(millis ->
+                RetryAfter.write(headers, RetryAfter.ofRefusal(status, millis, remainingMillis, context.random())));
         if (status.equals(HttpResponseStatus.UNAUTHORIZED)) {
             context.headerCodec().writeChallenge(headers);
         }
@@ -469,15 +467,6 @@
         finish(reason, status.code());
     }
 
-    /** Returns the time to wait after a refusal. That of a quota is exact: the quota keeper has counted who else waits. */
-    private long retryAfter(HttpResponseStatus status, long millis) {
-        if (status.equals(HttpResponseStatus.TOO_MANY_REQUESTS)) {
-            return millis;
-        }
-        long jittered = RetryAfter.withJitter(millis, context.random());
-        return machine == null ? jittered : RetryAfter.capped(jittered, remainingMillis());
-    }
-
     private void finish(String outcome, int status) {
         finished = true;
         deadlineTimer.ifPresent(timer -> timer.cancel(false));
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/RetryAfter.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/request/RetryAfter.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Locale;
 import java.util.random.RandomGenerator;
 
@@ -25,6 +26,17 @@
         return Math.min(millis, Math.max(0, remainingMillis / REMAINING_DIVISOR));
     }
 
+    /**
+     * Returns the time to wait after a refusal. That of a quota is exact: the quota keeper has counted who else waits.
+     *
+     * @param remainingMillis time that the caller has left; the largest number if it is not known
+     */
+    static long ofRefusal(HttpResponseStatus status, long millis, long remainingMillis, RandomGenerator random) {
+        return status.equals(HttpResponseStatus.TOO_MANY_REQUESTS)
+                ? millis
+                : capped(withJitter(millis, random), remainingMillis);
+    }
+
     static void write(HttpHeaders headers, long millis) {
         headers.set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", Math.max(0, millis) / 1_000.0));
     }
