Report skipped changes of a topic as a gap

Callers could have a stream continued by a server of another version: a node that is behind reads the newest records in place of the changes between, so that servers which came and went meanwhile count as never present, and 'the only version of a service' is wrong.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/TopicFollower.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/TopicFollower.java
@@ -37,7 +37,7 @@
         /** Called when a key was removed. */
         default void onRemoved(String key) {}
 
-        /** Called before a snapshot is applied that stands in for changes which the store no longer has. */
+        /** Called before a snapshot is applied that stands in for changes which the store no longer has, or which were not read. */
         default void onHistoryMissing() {}
 
         /** Called before the first records of a new era of the store are applied; see {@link KeyedTopic}. */
@@ -265,6 +265,7 @@
         if (progress && endOffset - nextOffset == 1) {
             read();
         } else {
+            guard.run("gap", listener::onHistoryMissing);
             snapshot();
         }
     }
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/TopicRelayCache.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/TopicRelayCache.java
@@ -92,8 +92,10 @@
             present.add(entry.key());
             add(entry);
         }
-        if (entriesByKey.keySet().retainAll(present) || nextOffset < 0) {
-            // The offsets of the removals are not known, so readers that are behind must read a snapshot again.
+        boolean skippedChanges = snapshot.endOffset() > nextOffset;
+        if (entriesByKey.keySet().retainAll(present) || skippedChanges) {
+            // The skipped changes are not known, among them removals, so readers that are behind must read a snapshot
+            // again.
             removals.clear();
             completeFromOffset = snapshot.endOffset();
         }
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/TopicFollowerTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/TopicFollowerTest.java
@@ -86,6 +86,33 @@
         assertTrue(topic.reads() - before <= 3, "reads: " + (topic.reads() - before));
     }
 
+    // Guards against servers that come and go within the skipped changes, and count as never present.
+    @Test
+    public void a_follower_that_skips_changes_says_so_before_it_applies_the_snapshot() {
+        List<String> events = new ArrayList<>();
+        TopicFollower.Listener listener = new TopicFollower.Listener() {
+            @Override
+            public void onValue(String key, byte[] value) {
+                events.add(key);
+            }
+
+            @Override
+            public void onHistoryMissing() {
+                events.add("gap");
+            }
+        };
+        new TopicFollower("test", topic, TopicFollowerSettings.PERIODIC, time.node(1), time, new Random(1), listener)
+                .start();
+        time.advance(100);
+        topic.setPageRecords(1);
+        topic.put("first", "1");
+        topic.put("server", "2");
+        topic.drop("server");
+        topic.put("last", "3");
+        time.advance(2_000);
+        assertEquals(events, List.of("config", "first", "gap", "last"));
+    }
+
     // Guards against a view that counts as younger than the relay's own read of the store.
     @Test
     public void a_view_is_as_old_as_the_read_of_the_node_that_answered() {
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/TopicRelayCacheTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/TopicRelayCacheTest.java
@@ -56,8 +56,12 @@
     }
 
     private static KeyedTopic.Entry entry(long offset) {
+        return entry("config", offset);
+    }
+
+    private static KeyedTopic.Entry entry(String key, long offset) {
         byte[] value = ("version " + offset).getBytes(StandardCharsets.UTF_8);
-        return new KeyedTopic.Entry("config", Optional.of(value), offset);
+        return new KeyedTopic.Entry(key, Optional.of(value), offset);
     }
 
     private boolean isCurrent() {
@@ -110,4 +114,13 @@
         assertTrue(response.current());
         assertEquals(response.nextOffset(), 40);
     }
+
+    // Guards against a reader that is not told of servers which came and went in changes that its relay skipped.
+    @Test
+    public void a_reader_behind_a_snapshot_that_skipped_changes_is_told_of_the_gap() {
+        store.snapshot = () -> new KeyedTopic.Snapshot(List.of(entry(4), entry("other", 39)), 40, ERA);
+        relay.snapshot();
+        time.advance(1);
+        assertTrue(relay.respond(new TopicMessages.Request("t", ERA, 5)).truncated());
+    }
 }
