Count an answer of a relay after a wait as of the relay's read

Evidence: TopicFollowerTest. an_answer_of_a_relay_after_a_wait_counts_as_of_the_relays_read failed with 'expected [false] but found [true]', and passes. The wait is now counted from the question, and the age is subtracted from the result.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/TopicFollower.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/TopicFollower.java
@@ -255,7 +255,7 @@
             readOn(changes.endOffset(), progress);
             return;
         }
-        onCurrent(sentNanos - changes.ageMillis() * 1_000_000, waitMillis);
+        onCurrent(sentNanos, changes.ageMillis(), waitMillis);
         readAfterPause();
     }
 
@@ -291,14 +291,14 @@
             }
         }
         nextOffset = snapshot.endOffset();
-        onCurrent(sentNanos - snapshot.ageMillis() * 1_000_000, 0);
+        onCurrent(sentNanos, snapshot.ageMillis(), 0);
         readAfterPause();
     }
 
-    private void onCurrent(long asOfNanos, long waitMillis) {
+    private void onCurrent(long sentNanos, long ageMillis, long waitMillis) {
         guard.run("end", listener::onCaughtUp);
-        currentAsOfNanos = asOfNanos;
-        answeredNanos = asOfNanos + Math.min(clock.nanos() - asOfNanos, waitMillis * 1_000_000);
+        currentAsOfNanos = sentNanos - ageMillis * 1_000_000;
+        answeredNanos = currentAsOfNanos + Math.min(clock.nanos() - sentNanos, waitMillis * 1_000_000);
         everCurrent = true;
     }
 
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/TopicFollowerTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/TopicFollowerTest.java
@@ -113,6 +113,42 @@
         assertEquals(events, List.of("config", "first", "gap", "last"));
     }
 
+    // Guards against an answer of a relay that counts as younger than what the relay knew.
+    @Test
+    public void an_answer_of_a_relay_after_a_wait_counts_as_of_the_relays_read() {
+        KeyedTopic relayed = new KeyedTopic() {
+            @Override
+            public CompletionStage<Snapshot> snapshot() {
+                return CompletableFuture.completedFuture(new Snapshot(List.of(), 0, 0, 700));
+            }
+
+            @Override
+            public CompletionStage<Changes> changes(long fromOffset, long waitMillis) {
+                CompletableFuture<Changes> answer = new CompletableFuture<>();
+                time.runAfter(500, () -> answer.complete(new Changes(List.of(), 0, 0, false, 0, 700)));
+                return answer;
+            }
+
+            @Override
+            public CompletionStage<AppendResult> appendAt(String key, byte[] value, long expectedEnd) {
+                throw new UnsupportedOperationException("the test appends nothing");
+            }
+        };
+        TopicFollower reader = new TopicFollower(
+                "test",
+                relayed,
+                TopicFollowerSettings.LONG_POLLING,
+                time.node(1),
+                time,
+                new Random(1),
+                (key, value) -> valueByKey.put(key, ""));
+        reader.start();
+        time.advance(501);
+        long answeredNanos = time.nanos() - 1_000_000;
+        assertFalse(reader.wasAnsweredSince(answeredNanos - 699_000_000));
+        assertTrue(reader.wasAnsweredSince(answeredNanos - 700_000_000));
+    }
+
     // Guards against a view that counts as younger than the relay's own read of the store.
     @Test
     public void a_view_is_as_old_as_the_read_of_the_node_that_answered() {
