Read the last missing record of a topic without a delay

Readers of a relay could all turn to the store for seconds while versions of a large configuration follow each other: the read of the one record that a page had left out waited for the polling interval, in which the next record came, so that the relay never read to the end. Evidence: TopicRelayCacheTest.a_relay_stays_current_while_each_page_leaves_one_record failed with 'expected [0] but found [11]' moments at which the relay was not current, and passes. That read is now made at once; if it does not reach the end either, the newest records are read, which always do.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/TopicFollower.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/TopicFollower.java
@@ -72,6 +72,7 @@
     private long failingSinceNanos;
     private long failureReportedNanos;
     private boolean stopped;
+    private boolean readingOn;
     private volatile long currentAsOfNanos;
     private volatile long answeredNanos;
     private volatile boolean everCurrent;
@@ -184,11 +185,14 @@
     }
 
     private void read() {
+        // After a failure the read returns at once, since any response shows that the store is available again.
+        read(consecutiveFailures > 0 ? 0 : settings.get().waitMillis());
+    }
+
+    private void read(long waitMillis) {
         if (stopped) {
             return;
         }
-        // After a failure the read returns at once, since any response shows that the store is available again.
-        long waitMillis = consecutiveFailures > 0 ? 0 : settings.get().waitMillis();
         long sentNanos = clock.nanos();
         topic.changes(nextOffset, waitMillis)
                 .whenComplete((changes, failure) -> control.execute(() -> {
@@ -259,11 +263,15 @@
         readAfterPause();
     }
 
-    /** Reads the last record that is missing, or the newest of each key in place of several: those between are of no use. */
+    /**
+     * Reads the last record that is missing, or the newest of each key in place of several: those between are of no use. If the
+     * topic has grown again meanwhile, the newest ones bring this node up to the end, which single records may never do.
+     */
     private void readOn(long endOffset, boolean progress) {
         log.info("event=topic_behind topic={} position={} end={}", name, nextOffset, endOffset);
-        if (progress && endOffset - nextOffset == 1) {
-            read();
+        if (progress && endOffset - nextOffset == 1 && !readingOn) {
+            readingOn = true;
+            read(0);
         } else {
             guard.run("gap", listener::onHistoryMissing);
             snapshot();
@@ -300,6 +308,7 @@
         currentAsOfNanos = sentNanos - ageMillis * 1_000_000;
         answeredNanos = currentAsOfNanos + Math.min(clock.nanos() - sentNanos, waitMillis * 1_000_000);
         everCurrent = true;
+        readingOn = false;
     }
 
     /** Reads again after a stale response, which may be followed by others, so not at once. */
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/TopicRelayCacheTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/TopicRelayCacheTest.java
@@ -5,9 +5,11 @@
 import static org.testng.Assert.assertTrue;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
@@ -123,4 +125,27 @@
         time.advance(1);
         assertTrue(relay.respond(new TopicMessages.Request("t", ERA, 5)).truncated());
     }
+
+    // Guards against readers that all turn to the store while versions follow each other at the pace of the reads.
+    @Test
+    public void a_relay_stays_current_while_each_page_leaves_one_record() {
+        FakeKeyedTopic topic = new FakeKeyedTopic(time, 4);
+        topic.put("config", "0");
+        topic.setPageRecords(1);
+        VirtualTime.Node node = time.node(1);
+        relay = new RelayedTopic("t", topic, Optional::empty, () -> true, Arrays::equals, node, time);
+        new TopicFollower("t", relay, TopicFollowerSettings.LONG_POLLING, node, time, new Random(1), (key, value) -> {})
+                .start();
+        time.advance(100);
+        topic.put("config", "1");
+        List<Integer> notCurrent = new ArrayList<>();
+        for (int version = 2; version < 14; version++) {
+            topic.put("config", Integer.toString(version));
+            time.advance(504);
+            if (!relay.respond(new TopicMessages.Request("t", -1, -1)).current()) {
+                notCurrent.add(version);
+            }
+        }
+        assertEquals(notCurrent, List.of());
+    }
 }
