Accept frames of exactly the limit on links between nodes

A message within 4 bytes of the frame limit was sent, and its receiver closed the link, which failed all questions on it: the decoder's limit includes the length field, the encoder's does not. Evidence: OversizedAnswerTest.a_message_of_exactly_the_frame_limit_is_received failed with 'connection closed before the answer', and passes.

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/links/TcpPeerTransport.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/links/TcpPeerTransport.java
@@ -181,7 +181,11 @@
             protected void initChannel(Channel channel) {
                 channel.pipeline()
                         .addLast(new LengthFieldBasedFrameDecoder(
-                                PeerFrameCodec.MAX_FRAME_BYTES, 0, LENGTH_FIELD_BYTES, 0, LENGTH_FIELD_BYTES))
+                                PeerFrameCodec.MAX_FRAME_BYTES + LENGTH_FIELD_BYTES,
+                                0,
+                                LENGTH_FIELD_BYTES,
+                                0,
+                                LENGTH_FIELD_BYTES))
                         .addLast(new LengthFieldPrepender(LENGTH_FIELD_BYTES))
                         .addLast(new FrameHandler());
             }
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/links/OversizedAnswerTest.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/links/OversizedAnswerTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import org.agatehatch.api.fleet.PeerAddress;
 import org.agatehatch.api.peer.PeerMessage;
+import org.agatehatch.internal.connection.PeerFrame;
 import org.agatehatch.internal.connection.PeerFrameCodec;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -72,4 +73,15 @@
         String failure = failure(ask(OVERSIZED));
         assertFalse(failure.contains("no answer within"), failure);
     }
+
+    // Guards against a frame that the sender accepts and for which the receiver closes the link.
+    @Test
+    public void a_message_of_exactly_the_frame_limit_is_received() throws Exception {
+        int headerBytes = PeerFrameCodec.encode(
+                                new PeerFrame(PeerFrame.Kind.QUESTION, 1, new PeerMessage("all", new byte[100_000])))
+                        .length
+                - 100_000;
+        PeerMessage largest = new PeerMessage("big", new byte[PeerFrameCodec.MAX_FRAME_BYTES - headerBytes]);
+        assertEquals(ask(largest).get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).type(), "small");
+    }
 }
