Await the body of a long poll after an early head

A store that sends the head of a long poll's answer before the body would have failed every poll after 900 ms of silence, although the poll may wait for 2 s. The first part of a body may now also use the rest of the call's timeout, as it could before there was a limit of silence.

--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/PooledHttpClient.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/PooledHttpClient.java
@@ -77,7 +77,7 @@
      * Limits of a response that has begun. A transfer that makes progress is worth more than its repetition: a fixed timeout on a slow
      * link would end each attempt at the same point.
      *
-     * @param silenceMillis maximum time between two parts
+     * @param silenceMillis maximum time between two parts; the first one may also use the rest of the call's timeout
      * @param totalMillis maximum time from the head to the end
      */
     public record TransferLimits(long silenceMillis, long totalMillis) {}
@@ -154,17 +154,18 @@
                 transferTimeout = Optional.of(schedule(
                         () -> onTimeout("the answer did not end within " + limits.totalMillis() + " ms"),
                         limits.totalMillis()));
-                expectProgress(limits);
+                // A server may send the head of a long poll's answer before there is anything to answer.
+                expectProgress(Math.max(limits.silenceMillis(), timeout.getDelay(TimeUnit.MILLISECONDS)));
             });
             return Disposition.ACCEPT;
         }
 
-        private void expectProgress(TransferLimits limits) {
+        private void expectProgress(long silenceMillis) {
             timeout.cancel(false);
             timeout = schedule(
-                    () -> onTimeout("no more of the answer within " + limits.silenceMillis() + " ms, after "
-                            + body.size() + " bytes"),
-                    limits.silenceMillis());
+                    () -> onTimeout(
+                            "no more of the answer within " + silenceMillis + " ms, after " + body.size() + " bytes"),
+                    silenceMillis);
         }
 
         private ScheduledFuture<?> schedule(Runnable task, long delayMillis) {
@@ -181,7 +182,7 @@
             byte[] bytes = new byte[content.readableBytes()];
             content.readBytes(bytes);
             body.writeBytes(bytes);
-            call.transfer().ifPresent(this::expectProgress);
+            call.transfer().ifPresent(limits -> expectProgress(limits.silenceMillis()));
         }
 
         @Override
