Refuse compressed values that end before their checksum

A record that was damaged at its end could be taken for a sound one, since the checksum is compared only if it is there. Evidence: DeflatedBytesTest.a_value_that_is_cut_off_is_refused failed with 'Expected IllegalArgumentException to be thrown, but nothing was thrown', and passes. The other cases of the class passed before: the limit itself, an empty value, a wrong length, a dictionary.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/version/record/DeflatedBytes.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/version/record/DeflatedBytes.java
@@ -55,6 +55,9 @@
             if (inflater.inflate(new byte[1]) > 0) {
                 throw new IllegalArgumentException("a compressed value is longer than " + length + " bytes");
             }
+            if (!inflater.finished()) {
+                throw new IllegalArgumentException("a compressed value ends before its checksum");
+            }
             return bytes;
         } catch (DataFormatException e) {
             throw new IllegalArgumentException("a compressed value is malformed", e);
