Do not count a long poll before a freeze as a new read

Callers could see requests handled by old configurations: in a group that has just come to use relays, one that was frozen during a long poll counted its answer as of the end of the freeze, and told readers an age of 0. Evidence: TopicRelayCacheTest. a_relay_that_was_frozen_during_a_long_poll_is_not_current failed with 'expected [false] but found [true]', and passes. The answer now counts as of the end of the wait at most, as in the follower.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/RelayedTopic.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/RelayedTopic.java
@@ -220,7 +220,9 @@
                         changes -> {
                             logRead("store", sentNanos, fromOffset, changes.entries(), changes.nextOffset());
                             if (cache.add(changes)) {
-                                cache.onStoreRead(waitMillis > 0 ? clock.nanos() : sentNanos);
+                                // A node that was frozen may take an answer from long before for a new one.
+                                cache.onStoreRead(
+                                        sentNanos + Math.min(clock.nanos() - sentNanos, waitMillis * 1_000_000));
                             }
                             relayFailed = relayFailed && usableRelay().isEmpty();
                             return changes;
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/TopicRelayCacheTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/TopicRelayCacheTest.java
@@ -148,4 +148,24 @@
         }
         assertEquals(notCurrent, List.of());
     }
+
+    // Guards against a node that was frozen during a long poll and takes the answer from before for a new one.
+    @Test
+    public void a_relay_that_was_frozen_during_a_long_poll_is_not_current() {
+        FakeKeyedTopic topic = new FakeKeyedTopic(time, 4);
+        topic.put("config", "1");
+        VirtualTime.Node node = time.node(1);
+        relay = new RelayedTopic("t", topic, Optional::empty, () -> false, Arrays::equals, node, time);
+        new TopicFollower("t", relay, TopicFollowerSettings.LONG_POLLING, node, time, new Random(1), (key, value) -> {})
+                .start();
+        time.advance(100);
+        node.pause();
+        topic.put("config", "2");
+        time.advance(50);
+        topic.put("config", "3");
+        time.advance(10_000);
+        node.resume();
+        time.advance(1);
+        assertFalse(relay.respond(new TopicMessages.Request("t", -1, -1)).current());
+    }
 }
