--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/TopicFollowerTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/TopicFollowerTest.java
@@ -86,6 +86,69 @@
         assertTrue(topic.reads() - before <= 3, "reads: " + (topic.reads() - before));
     }
 
+    // Guards against servers that come and go within the skipped changes, and count as never present.
+    @Test
+    public void a_follower_that_skips_changes_says_so_before_it_applies_the_snapshot() {
+        List<String> events = new ArrayList<>();
+        TopicFollower.Listener listener = new TopicFollower.Listener() {
+            @Override
+            public void onValue(String key, byte[] value) {
+                events.add(key);
+            }
+
+            @Override
+            public void onHistoryMissing() {
+                events.add("gap");
+            }
+        };
+        new TopicFollower("test", topic, TopicFollowerSettings.PERIODIC, time.node(1), time, new Random(1), listener)
+                .start();
+        time.advance(100);
+        topic.setPageRecords(1);
+        topic.put("first", "1");
+        topic.put("server", "2");
+        topic.drop("server");
+        topic.put("last", "3");
+        time.advance(2_000);
+        assertEquals(events, List.of("config", "first", "gap", "last"));
+    }
+
+    // Guards against an answer of a relay that counts as younger than what the relay knew.
+    @Test
+    public void an_answer_of_a_relay_after_a_wait_counts_as_of_the_relays_read() {
+        KeyedTopic relayed = new KeyedTopic() {
+            @Override
+            public CompletionStage<Snapshot> snapshot() {
+                return CompletableFuture.completedFuture(new Snapshot(List.of(), 0, 0, 700));
+            }
+
+            @Override
+            public CompletionStage<Changes> changes(long fromOffset, long waitMillis) {
+                CompletableFuture<Changes> answer = new CompletableFuture<>();
+                time.runAfter(500, () -> answer.complete(new Changes(List.of(), 0, 0, false, 0, 700)));
+                return answer;
+            }
+
+            @Override
+            public CompletionStage<AppendResult> appendAt(String key, byte[] value, long expectedEnd) {
+                throw new UnsupportedOperationException("the test appends nothing");
+            }
+        };
+        TopicFollower reader = new TopicFollower(
+                "test",
+                relayed,
+                TopicFollowerSettings.LONG_POLLING,
+                time.node(1),
+                time,
+                new Random(1),
+                (key, value) -> valueByKey.put(key, ""));
+        reader.start();
+        time.advance(501);
+        long answeredNanos = time.nanos() - 1_000_000;
+        assertFalse(reader.wasAnsweredSince(answeredNanos - 699_000_000));
+        assertTrue(reader.wasAnsweredSince(answeredNanos - 700_000_000));
+    }
+
     // Guards against a view that counts as younger than the relay's own read of the store.
     @Test
     public void a_view_is_as_old_as_the_read_of_the_node_that_answered() {
--- a/agatehatch-core/src/test/java/org/agatehatch/internal/process/TopicRelayCacheTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/process/TopicRelayCacheTest.java
@@ -5,9 +5,11 @@
 import static org.testng.Assert.assertTrue;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
@@ -56,8 +58,12 @@
     }
 
     private static KeyedTopic.Entry entry(long offset) {
+        return entry("config", offset);
+    }
+
+    private static KeyedTopic.Entry entry(String key, long offset) {
         byte[] value = ("version " + offset).getBytes(StandardCharsets.UTF_8);
-        return new KeyedTopic.Entry("config", Optional.of(value), offset);
+        return new KeyedTopic.Entry(key, Optional.of(value), offset);
     }
 
     private boolean isCurrent() {
@@ -110,4 +116,56 @@
         assertTrue(response.current());
         assertEquals(response.nextOffset(), 40);
     }
+
+    // Guards against a reader that is not told of servers which came and went in changes that its relay skipped.
+    @Test
+    public void a_reader_behind_a_snapshot_that_skipped_changes_is_told_of_the_gap() {
+        store.snapshot = () -> new KeyedTopic.Snapshot(List.of(entry(4), entry("other", 39)), 40, ERA);
+        relay.snapshot();
+        time.advance(1);
+        assertTrue(relay.respond(new TopicMessages.Request("t", ERA, 5)).truncated());
+    }
+
+    // Guards against readers that all turn to the store while versions follow each other at the pace of the reads.
+    @Test
+    public void a_relay_stays_current_while_each_page_leaves_one_record() {
+        FakeKeyedTopic topic = new FakeKeyedTopic(time, 4);
+        topic.put("config", "0");
+        topic.setPageRecords(1);
+        VirtualTime.Node node = time.node(1);
+        relay = new RelayedTopic("t", topic, Optional::empty, () -> true, Arrays::equals, node, time);
+        new TopicFollower("t", relay, TopicFollowerSettings.LONG_POLLING, node, time, new Random(1), (key, value) -> {})
+                .start();
+        time.advance(100);
+        topic.put("config", "1");
+        List<Integer> notCurrent = new ArrayList<>();
+        for (int version = 2; version < 14; version++) {
+            topic.put("config", Integer.toString(version));
+            time.advance(504);
+            if (!relay.respond(new TopicMessages.Request("t", -1, -1)).current()) {
+                notCurrent.add(version);
+            }
+        }
+        assertEquals(notCurrent, List.of());
+    }
+
+    // Guards against a node that was frozen during a long poll and takes the answer from before for a new one.
+    @Test
+    public void a_relay_that_was_frozen_during_a_long_poll_is_not_current() {
+        FakeKeyedTopic topic = new FakeKeyedTopic(time, 4);
+        topic.put("config", "1");
+        VirtualTime.Node node = time.node(1);
+        relay = new RelayedTopic("t", topic, Optional::empty, () -> false, Arrays::equals, node, time);
+        new TopicFollower("t", relay, TopicFollowerSettings.LONG_POLLING, node, time, new Random(1), (key, value) -> {})
+                .start();
+        time.advance(100);
+        node.pause();
+        topic.put("config", "2");
+        time.advance(50);
+        topic.put("config", "3");
+        time.advance(10_000);
+        node.resume();
+        time.advance(1);
+        assertFalse(relay.respond(new TopicMessages.Request("t", -1, -1)).current());
+    }
 }
