--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/EdgeNode.java
@@ -190,7 +190,7 @@
         serverFollower =
                 newFollower(SERVER_TOPIC, serverTopic, this::serverTopicTiming, peerBootstrap.recording(registry));
         exposeViews();
-        storeViews = new StoreViews(configFollower, serverFollower, softwareVersions, clock);
+        storeViews = new StoreViews(configFollower, serverFollower, clock);
         nodeGroup = new RelayedNodeGroup(platform.nodeGroup(), this::groupRelay, control::execute);
         membership = newMembership();
         claim = newPlacementLease();
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/StoreViews.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/process/StoreViews.java
@@ -1,32 +1,24 @@
 package org.agatehatch.gateway.process;
 
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.agatehatch.api.time.MonotonicClock;
-import org.agatehatch.internal.process.StreamOriginMessages;
 import org.agatehatch.internal.process.TopicFollower;
-import org.agatehatch.internal.request.SoftwareVersions;
 
 /** How recent this node's views of the store are. Thread-safe. */
 final class StoreViews {
-    /** Age of a view of the servers up to which it tells other nodes of a service's only version; two intervals of its reads. */
-    private static final long MAX_VERSION_VIEW_AGE_MILLIS = 2_000;
-
     /**
-     * Age of the last answer about the configuration up to which a key or a route that is not in it is unknown. Answers arrive at least every
-     * 2 s while a source is in reach.
+     * Age of the last answer about the configuration up to which a key or a route that is not in it is unknown. Answers
+     * arrive at least every 2 s while a source is in reach.
      */
     private static final long MAX_CONFIG_ANSWER_AGE_MILLIS = 3_000;
 
     private final TopicFollower config;
     private final TopicFollower servers;
-    private final SoftwareVersions softwareVersions;
     private final MonotonicClock clock;
 
-    StoreViews(TopicFollower config, TopicFollower servers, SoftwareVersions softwareVersions, MonotonicClock clock) {
+    StoreViews(TopicFollower config, TopicFollower servers, MonotonicClock clock) {
         this.config = config;
         this.servers = servers;
-        this.softwareVersions = softwareVersions;
         this.clock = clock;
     }
 
@@ -39,12 +31,4 @@
     boolean knowsServersAsOf(long nanos) {
         return servers.isCurrentAsOf(nanos);
     }
-
-    /** Returns the only version of a service's servers, if this node's view is recent enough to tell. */
-    Optional<String> onlyVersion(StreamOriginMessages.VersionQuestion question) {
-        long viewNanos = clock.nanos() - TimeUnit.MILLISECONDS.toNanos(MAX_VERSION_VIEW_AGE_MILLIS);
-        return knowsServersAsOf(viewNanos)
-                ? softwareVersions.onlyVersion(question.service(), question.spanMillis())
-                : Optional.empty();
-    }
 }
