Compress messages between nodes that are large because of many small records

Callers of a node that starts while the store is away got 503 in a deployment with some 1,500 servers: the state of its peers did not fit a frame, and readers of such a deployment took their first view from the store. Cause: only single large values were compressed. Evidence: both methods of ManyServersMessageTest failed with 'frame of 302765 bytes exceeds the limit of 262144' and 309894, and pass. A body of 128 KiB or more is compressed as a whole for nodes that accept compressed values; the former release gets plain messages.

--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/StateMessages.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/StateMessages.java
@@ -45,13 +45,17 @@
     /** Encodes the response to a request. A large configuration is compressed if the requesting node accepts it. */
     public static PeerMessage respond(PeerMessage request, StoredState state, ValueDeflater deflater) {
         byte[] config = state.config().orElse(new byte[0]);
-        return acceptsDeflated(request) && ValueDeflater.applies(config)
-                ? encode(state, Map.of("c", deflater.deflate(config), "z", config.length))
-                : encode(state, Map.of("c", config));
+        if (!acceptsDeflated(request)) {
+            return encode(state, Map.of("c", config));
+        }
+        return LargeMessages.compact(
+                ValueDeflater.applies(config)
+                        ? encode(state, Map.of("c", deflater.deflate(config), "z", config.length))
+                        : encode(state, Map.of("c", config)));
     }
 
     private static boolean acceptsDeflated(PeerMessage request) {
-        Fields fields = fields(request);
+        Fields fields = LargeMessages.fields(request);
         return fields.has("z") && fields.flag("z");
     }
 
@@ -65,7 +69,7 @@
 
     /** Decodes a response. */
     public static StoredState decode(PeerMessage message) {
-        Fields fields = fields(message);
+        Fields fields = LargeMessages.fields(message);
         byte[] config = fields.has("z")
                 ? DeflatedBytes.inflate(fields.bytes("c"), fields.integer("z"), MAX_CONFIG_BYTES)
                 : fields.bytes("c");
@@ -73,12 +77,4 @@
         fields.maps("s").forEach(entry -> servers.put(entry.text("k"), entry.bytes("v")));
         return new StoredState(config.length == 0 ? Optional.empty() : Optional.of(config), servers);
     }
-
-    private static Fields fields(PeerMessage message) {
-        try {
-            return new Fields(MessagePackValues.decode(message.body()));
-        } catch (MessagePackValues.MalformedValueException e) {
-            throw new IllegalArgumentException("a peer sent a malformed '" + message.type() + "' message", e);
-        }
-    }
 }
--- a/agatehatch-core/src/main/java/org/agatehatch/internal/process/TopicMessages.java
+++ b/agatehatch-core/src/main/java/org/agatehatch/internal/process/TopicMessages.java
@@ -82,7 +82,7 @@
 
     /** Decodes a request. */
     public static Request decodeRequest(PeerMessage message) {
-        Fields fields = fields(message);
+        Fields fields = LargeMessages.fields(message);
         return new Request(
                 fields.text("t"), fields.integer("a"), fields.integer("f"), fields.has("z") && fields.flag("z"));
     }
@@ -94,11 +94,12 @@
 
     /** Encodes a response whose large values are compressed: a record may be larger than a message between nodes. */
     static PeerMessage encodeDeflated(Response response, ValueDeflater deflater) {
-        return encode(
+        PeerMessage message = encode(
                 response,
                 entry -> entry.value().filter(ValueDeflater::applies).isPresent()
                         ? deflatedEntry(entry, entry.value().get(), deflater)
                         : plainEntry(entry));
+        return LargeMessages.compact(message);
     }
 
     private static Map<String, Object> plainEntry(KeyedTopic.Entry entry) {
@@ -124,7 +125,7 @@
 
     /** Decodes a response. */
     public static Response decodeResponse(PeerMessage message) {
-        Fields fields = fields(message);
+        Fields fields = LargeMessages.fields(message);
         List<KeyedTopic.Entry> entries = fields.maps("e").stream()
                 .map(entry -> new KeyedTopic.Entry(entry.text("k"), value(entry), entry.integer("o")))
                 .toList();
@@ -143,12 +144,4 @@
                 : entry.bytes("v");
         return bytes.length == 0 ? Optional.empty() : Optional.of(bytes);
     }
-
-    private static Fields fields(PeerMessage message) {
-        try {
-            return new Fields(MessagePackValues.decode(message.body()));
-        } catch (MessagePackValues.MalformedValueException e) {
-            throw new IllegalArgumentException("the body of a '" + message.type() + "' message is malformed", e);
-        }
-    }
 }
