Do not use a list of VMs that is older than one already read

The list is read every second with a time-out of 2 s, so reads overlap. Answers were used as they arrived: a late answer of an earlier read made a leaving server live again, or a new node unknown, until the next read. Such an answer now counts as a failed read, which the node ignores.

VmListClientTest.the_answer_of_an_earlier_read_is_not_returned_after_that_of_a_later_one failed before: the earlier list was returned expected [true] but found [false].

--- a/agatehatch-daemon/src/main/java/org/agatehatch/daemon/platform/VmListClient.java
+++ b/agatehatch-daemon/src/main/java/org/agatehatch/daemon/platform/VmListClient.java
@@ -5,7 +5,10 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.AtomicLong;
+import org.agatehatch.api.errors.AgatehatchException;
 import org.agatehatch.api.errors.ErrorCode;
+import org.agatehatch.api.errors.Outcome;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 
 /** Reads the platform's list of live and leaving VMs. The list may lag behind the actual state of the VMs. */
@@ -14,21 +17,34 @@
 
     private final PlatformHttp http;
     private final URI base;
+    private final AtomicLong lastRequest = new AtomicLong();
+    private final AtomicLong newestAnswered = new AtomicLong();
 
     public VmListClient(PlatformHttp http, URI base) {
         this.http = http;
         this.base = base;
     }
 
-    /** Requests the list and returns its VMs. */
+    /** Requests the list and returns its VMs. Fails if a later request was answered first, since its list is newer. */
     public CompletionStage<List<Vm>> read() {
+        long request = lastRequest.incrementAndGet();
         return http.call(
                         HttpRequest.GET(base + "/vms"),
                         TIMEOUT,
                         new TypeReference<VmList>() {},
                         ErrorCode.INTERNAL,
                         "read VM list")
-                .thenApply(VmList::vms);
+                .thenApply(list -> {
+                    if (newestAnswered.getAndAccumulate(request, Math::max) > request) {
+                        throw new AgatehatchException(
+                                ErrorCode.INTERNAL,
+                                "read VM list",
+                                base.toString(),
+                                Outcome.UNKNOWN,
+                                "a later request was answered first");
+                    }
+                    return list.vms();
+                });
     }
 
     /**
