Show that the daemon takes no error for frames of a stream

A test only, for the report on errors in the middle of streams: responses of another status, type or content, with a head within the body or without frames, give no frame and no end of a stream in CutResponseTest.

--- a/agatehatch-daemon/src/test/java/org/agatehatch/daemon/traffic/CutResponseTest.java
+++ b/agatehatch-daemon/src/test/java/org/agatehatch/daemon/traffic/CutResponseTest.java
@@ -35,7 +35,10 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/** Guards against a response that stopped within its head, or within the framing of its body, and is taken for a whole one. */
+/**
+ * Guards against a response that stopped within its head, or within the framing of its body, or that is an error, and is taken for
+ * a whole one.
+ */
 public final class CutResponseTest {
     private static final String JSON = "{\"offset\":123}";
     private static final String FRAMES = "id: attempt:0\ndata: {}\n\nid: attempt:1\ndata: [DONE]\n\n";
@@ -182,6 +185,43 @@
         });
     }
 
+    @DataProvider
+    public Object[][] responsesThatAreNoStream() {
+        String ok = "HTTP/1.1 200 OK\r\n";
+        String events = ok + "Content-Type: text/event-stream\r\n";
+        String error = "HTTP/1.1 500 Failed\r\nContent-Type: text/plain\r\n\r\n";
+        String done = "id: attempt:1\ndata: [DONE]\n\n";
+        return new Object[][] {
+            {error + "oops\n\n" + done},
+            {"HTTP/1.1 500 Failed\r\nContent-Type: text/event-stream\r\n\r\n" + done},
+            {"HTTP/1.1 302 Found\r\nContent-Type: text/plain\r\n\r\n" + done},
+            {ok + "Content-Type: text/plain\r\n\r\noops\n\n" + done},
+            {ok + "Content-Type: application/json\r\n\r\n{}"},
+            {ok + "\r\n"},
+            {ok + "Content-Length: 0\r\n\r\n"},
+            {"HTTP/1.1 204 None\r\n\r\n"},
+            {events + "Content-Length: 0\r\n\r\n"},
+            {events + "\r\ndata: oops\n\n" + done},
+            {events + "\r\ndata: [DONE]\n\n"},
+            {events + "\r\n" + error + "data: oops\n\n"},
+        };
+    }
+
+    // Guards against an error that is relayed as the rest of a stream, or that ends it as complete.
+    @Test(dataProvider = "responsesThatAreNoStream")
+    public void a_response_that_is_no_stream_has_no_frames(String response) {
+        reset = false;
+        reused = false;
+        cut = response;
+        List<ResponseFrame> received;
+        try {
+            received = frames().toCompletableFuture().join();
+        } catch (CompletionException broken) {
+            return;
+        }
+        assertEquals(received, List.of());
+    }
+
     // Shows that the other tests fail for the cut and for nothing else.
     @Test
     public void whole_responses_are_read() {
