--- a/agatehatch-core/src/test/java/org/agatehatch/internal/request/EventSplitterTest.java
+++ b/agatehatch-core/src/test/java/org/agatehatch/internal/request/EventSplitterTest.java
@@ -33,8 +33,7 @@
     }
 
     // Guards against the head of an error's response that is relayed as an event, and against the same text in an
-    // event's
-    // data that is taken for one.
+    // event's data that is taken for one.
     @Test
     public void a_status_line_is_noticed_at_every_chunk_boundary_and_only_at_the_start_of_a_line() {
         String sound = STREAM + "data: HTTP/1.1 500\nHTTP: HTTP/1.1\ndata\n HTTP/1.1\n\n";
--- a/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/CallerConnection.java
+++ b/agatehatch-gateway/src/main/java/org/agatehatch/gateway/connection/CallerConnection.java
@@ -357,8 +357,7 @@
         responding = true;
         starting = Optional.of(next.request());
         // What a task schedules runs after the sockets were read again, which shows the end of a connection whose
-        // caller left
-        // while its request waited to be read.
+        // caller left while its request waited to be read.
         channel.eventLoop().execute(() -> channel.eventLoop().schedule(this::serveNext, 0, TimeUnit.NANOSECONDS));
     }
 
--- a/agatehatch-gateway/src/test/java/org/agatehatch/gateway/StreamVersionTest.java
+++ b/agatehatch-gateway/src/test/java/org/agatehatch/gateway/StreamVersionTest.java
@@ -147,9 +147,8 @@
         }
     }
 
-    // Guards against a stream that goes on at the version of the entries, but was begun by a restarted server that had
-    // not
-    // written its entry yet.
+    // Guards against a stream that goes on at the version of the entries, but was begun by a restarted server that
+    // had not written its entry yet.
     @Test
     public void a_stream_of_which_nothing_is_known_waits_for_the_entries_of_processes_that_listened_before()
             throws IOException {
